--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/model/Pool.java
@@ -0,0 +1,19 @@
+package org.onyxhinge.core.model;
+
+/**
+ * A pool of unlike targets that serve the same services. Targets join a pool through their agent's
+ * settings; the pool itself only names them and the model they carry.
+ *
+ * @param name operator-chosen name
+ * @param model model or application the pool's targets carry
+ */
+public record Pool(String name, String model) {
+
+    /** Checks the name; throws {@link IllegalArgumentException} naming the bad field. */
+    public Pool {
+        Checks.name("pool", name);
+        if (model == null || model.isBlank()) {
+            throw new IllegalArgumentException("pool model must not be blank");
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable records of what operators configure and what callers ask for. */
+package org.onyxhinge.core.model;
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Action.java
@@ -0,0 +1,45 @@
+package org.onyxhinge.core.schedule;
+
+import org.onyxhinge.core.model.RequestSpec;
+
+/** What the scheduler asks its adapters to do. Carried out in the order returned. */
+public sealed interface Action {
+
+    /** The request this action is about. */
+    String requestId();
+
+    /**
+     * Send the request to an engine. Given at most once per request.
+     *
+     * @param spec the request
+     * @param engineId the chosen engine
+     */
+    record Dispatch(RequestSpec spec, String engineId) implements Action {
+        @Override
+        public String requestId() {
+            return spec.requestId();
+        }
+    }
+
+    /**
+     * Answer the caller with a refusal; the request was never dispatched.
+     *
+     * @param spec the request
+     * @param refusal what to tell the caller
+     */
+    record Refuse(RequestSpec spec, Refusal refusal) implements Action {
+        @Override
+        public String requestId() {
+            return spec.requestId();
+        }
+    }
+
+    /**
+     * Stop a running request on its engine and tell its caller why.
+     *
+     * @param requestId the request
+     * @param engineId where it runs
+     * @param refusal what to tell the caller
+     */
+    record Cancel(String requestId, String engineId, Refusal refusal) implements Action {}
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSnapshot.java
@@ -0,0 +1,28 @@
+package org.onyxhinge.core.schedule;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A copy of the scheduler's state for the state dump.
+ *
+ * @param engines each known engine
+ * @param queuedByPool requests waiting in the router, by pool
+ * @param inFlightByWorkspace requests queued or running, by workspace
+ */
+public record SchedulerSnapshot(
+        List<Engine> engines, Map<String, Integer> queuedByPool, Map<String, Integer> inFlightByWorkspace) {
+
+    /**
+     * One engine as the scheduler sees it.
+     *
+     * @param engineId the engine
+     * @param pool its pool
+     * @param ownInFlight requests this router runs there
+     * @param othersInFlight requests other routers run there, from the last report
+     * @param draining true once it is leaving
+     * @param lastHeardAtMs when its agent was last heard
+     */
+    public record Engine(
+            String engineId, String pool, int ownInFlight, int othersInFlight, boolean draining, long lastHeardAtMs) {}
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -0,0 +1,344 @@
+package org.onyxhinge.router;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import io.vertx.core.Context;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.grpc.server.GrpcServer;
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.model.ClusterConfig;
+import org.onyxhinge.core.model.Workspace;
+import org.onyxhinge.core.schedule.Action;
+import org.onyxhinge.core.schedule.EngineInfo;
+import org.onyxhinge.core.schedule.RefusalReason;
+import org.onyxhinge.core.schedule.Scheduler;
+import org.onyxhinge.router.admin.AdminService;
+import org.onyxhinge.router.config.ConfigStore;
+import org.onyxhinge.router.dispatch.ControlPlane;
+import org.onyxhinge.router.dispatch.Flight;
+import org.onyxhinge.router.dispatch.OnceRegistry;
+import org.onyxhinge.router.dispatch.RefusedException;
+import org.onyxhinge.router.peer.PeerListener;
+import org.onyxhinge.router.peer.PeerServer;
+import org.onyxhinge.wire.kv.KvClient;
+import org.onyxhinge.wire.kv.LeaseKeeper;
+import org.onyxhinge.wire.peer.PeerMessage;
+
+/**
+ * One router process, assembled: the key-value client and configuration, the scheduler and the
+ * agents' connections on the control context; the callers' HTTP on traffic contexts; the operators'
+ * gRPC service. Every call into the scheduler hops to the control context first.
+ */
+public final class RouterNode implements ControlPlane, PeerListener, AutoCloseable {
+
+    /** Key prefix under which routers hold their membership leases. */
+    public static final String MEMBERS_PREFIX = "members/routers/";
+
+    private static final Logger LOG = Logger.getLogger(RouterNode.class);
+    private static final long TICK_MS = 20;
+    private static final long CONFIG_RETRY_MS = 200;
+    private static final long DRAIN_POLL_MS = 50;
+    private static final int NS_PER_MS = 1_000_000;
+
+    private final RouterSettings settings;
+    private final Vertx vertx;
+    private final Context control;
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final RequestIds ids;
+    private final Scheduler scheduler;
+    private final Map<String, Flight> flights = new HashMap<>();
+    private final Map<String, OnceRegistry.Claim> claims = new HashMap<>();
+    private final Map<String, EngineInfo> engines = new TreeMap<>();
+    private KvClient kv;
+    private ConfigStore config;
+    private OnceRegistry once;
+    private PeerServer peers;
+    private HttpServer admin;
+    private LeaseKeeper membership;
+    private volatile boolean draining;
+    private volatile JsonObject lastDump = new JsonObject();
+
+    private RouterNode(RouterSettings settings, Vertx vertx) {
+        this.settings = settings;
+        this.vertx = vertx;
+        this.control = vertx.getOrCreateContext();
+        this.ids = RequestIds.of(settings.routerId(), System.currentTimeMillis());
+        this.scheduler = Scheduler.create(settings.scheduler());
+    }
+
+    /** Starts a router; the future completes once it serves callers. */
+    public static Future<RouterNode> start(RouterSettings settings) {
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.trafficThreads() + 1));
+        RouterNode node = new RouterNode(settings, vertx);
+        return node.onControl(node::startOnControl);
+    }
+
+    /** The settings it runs with. */
+    public RouterSettings settings() {
+        return settings;
+    }
+
+    /** Its measures. */
+    public RouterMetrics metrics() {
+        return metrics;
+    }
+
+    /** Its request ids. */
+    public RequestIds ids() {
+        return ids;
+    }
+
+    /** The configuration in force. Safe from any thread. */
+    public ClusterConfig config() {
+        return config == null ? ClusterConfig.empty() : config.current();
+    }
+
+    /** True once a planned stop has begun. */
+    public boolean draining() {
+        return draining;
+    }
+
+    /** The last state dump, refreshed by the control thread every tick. Safe from any thread. */
+    public JsonObject dump() {
+        return lastDump;
+    }
+
+    private Future<RouterNode> startOnControl() {
+        kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
+        config = ConfigStore.create(kv, c -> LOG.debugf("config revision=%d", c.revision()));
+        once = OnceRegistry.create(kv);
+        return loadConfig()
+                .compose(c -> PeerServer.start(vertx, settings.host(), settings.peerPort(), this))
+                .compose(p -> {
+                    peers = p;
+                    return startAdmin();
+                })
+                .compose(a -> vertx.deployVerticle(
+                        () -> new TrafficVerticle(this),
+                        new DeploymentOptions().setInstances(settings.trafficThreads())))
+                .map(id -> {
+                    vertx.setPeriodic(TICK_MS, t -> tick());
+                    String address = settings.advertiseHost() + ":" + peers.port();
+                    membership = LeaseKeeper.hold(
+                            vertx,
+                            kv,
+                            MEMBERS_PREFIX + settings.routerId(),
+                            address.getBytes(StandardCharsets.UTF_8),
+                            settings.leaseTtlMs(),
+                            token -> {});
+                    LOG.infof(
+                            "router started id=%s http=%s:%d admin=%d peer=%d",
+                            settings.routerId(),
+                            settings.host(),
+                            settings.httpPort(),
+                            admin.actualPort(),
+                            peers.port());
+                    return this;
+                });
+    }
+
+    private Future<ClusterConfig> loadConfig() {
+        Promise<ClusterConfig> loaded = Promise.promise();
+        attemptConfig(loaded, 0);
+        return loaded.future();
+    }
+
+    private void attemptConfig(Promise<ClusterConfig> loaded, int attempt) {
+        config.start().onSuccess(loaded::complete).onFailure(e -> {
+            if (attempt % 25 == 0) {
+                LOG.infof("config not loaded yet attempt=%d error=%s", attempt, e.getMessage());
+            }
+            vertx.setTimer(CONFIG_RETRY_MS, t -> attemptConfig(loaded, attempt + 1));
+        });
+    }
+
+    private Future<HttpServer> startAdmin() {
+        GrpcServer grpc = GrpcServer.server(vertx);
+        AdminService.mount(grpc, config, control);
+        admin = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(true));
+        return admin.requestHandler(grpc).listen(settings.adminPort(), settings.host());
+    }
+
+    @Override
+    public void submit(Flight f) {
+        control.runOnContext(v -> {
+            flights.put(f.spec().requestId(), f);
+            if (!f.spec().nonIdempotent()) {
+                schedule(f);
+                return;
+            }
+            once.claim(f.spec())
+                    .onSuccess(claim -> {
+                        claims.put(f.spec().requestId(), claim);
+                        schedule(f);
+                    })
+                    .onFailure(e -> refuseUnscheduled(f, e));
+        });
+    }
+
+    private void schedule(Flight f) {
+        int limit = config().workspace(f.spec().workspace())
+                .map(Workspace::maxInFlight)
+                .orElse(0);
+        execute(scheduler.submit(f.spec(), limit, nowMs()));
+    }
+
+    private void refuseUnscheduled(Flight f, Throwable e) {
+        flights.remove(f.spec().requestId());
+        var refusal = e instanceof RefusedException r
+                ? r.refusal()
+                : org.onyxhinge.core.schedule.Refusal.of(RefusalReason.STORE_UNAVAILABLE, e.getMessage(), 1_000);
+        f.traffic().runOnContext(v -> f.dispatcher().refuse(f, refusal));
+    }
+
+    @Override
+    public void firstToken(String requestId) {
+        control.runOnContext(v -> scheduler.firstToken(requestId));
+    }
+
+    @Override
+    public void ended(String requestId, boolean dispatched, RefusalReason outcome) {
+        control.runOnContext(v -> {
+            flights.remove(requestId);
+            OnceRegistry.Claim claim = claims.remove(requestId);
+            if (!dispatched) {
+                scheduler.abandon(requestId);
+                if (claim != null) {
+                    once.release(claim);
+                }
+                return;
+            }
+            execute(scheduler.finished(requestId, nowMs()));
+        });
+    }
+
+    @Override
+    public void hello(PeerMessage.Hello hello) {
+        EngineInfo info = hello.engine();
+        if (!info.equals(engines.get(info.engineId()))) {
+            LOG.infof(
+                    "engine joined engine=%s pool=%s agent=%s address=%s:%d",
+                    info.engineId(), info.pool(), hello.agentId(), info.host(), info.port());
+        }
+        engines.put(info.engineId(), info);
+        execute(scheduler.engineJoined(info, nowMs()));
+    }
+
+    @Override
+    public void load(PeerMessage.Load load) {
+        execute(scheduler.engineReported(load.toReport(), nowMs()));
+    }
+
+    @Override
+    public void bye(PeerMessage.Bye bye) {
+        LOG.infof("engine leaving engine=%s", bye.engineId());
+        scheduler.engineDraining(bye.engineId());
+    }
+
+    private void execute(List<Action> actions) {
+        for (Action a : actions) {
+            Flight f = flights.get(a.requestId());
+            if (f == null) {
+                continue;
+            }
+            switch (a) {
+                case Action.Dispatch d -> {
+                    EngineInfo engine = engines.get(d.engineId());
+                    f.traffic().runOnContext(v -> f.dispatcher().dispatch(f, engine));
+                }
+                case Action.Refuse r -> {
+                    flights.remove(a.requestId());
+                    OnceRegistry.Claim claim = claims.remove(a.requestId());
+                    if (claim != null) {
+                        once.release(claim);
+                    }
+                    f.traffic().runOnContext(v -> f.dispatcher().refuse(f, r.refusal()));
+                }
+                case Action.Cancel c -> {
+                    flights.remove(a.requestId());
+                    claims.remove(a.requestId());
+                    f.traffic().runOnContext(v -> f.dispatcher().cancel(f, c.refusal()));
+                }
+            }
+        }
+    }
+
+    private void tick() {
+        execute(scheduler.tick(nowMs()));
+        lastDump = buildDump();
+    }
+
+    private JsonObject buildDump() {
+        Map<String, Integer> byState = new TreeMap<>();
+        flights.values().forEach(f -> byState.merge(f.state(), 1, Integer::sum));
+        JsonObject flightStates = new JsonObject();
+        byState.forEach(flightStates::put);
+        return new JsonObject()
+                .put("process", "router")
+                .put("routerId", settings.routerId())
+                .put("dataCentre", settings.dataCentre())
+                .put("draining", draining)
+                .put("configRevision", config().revision())
+                .put("kvConnected", kv.connected())
+                .put("kvCalls", kv.callCount())
+                .put("membershipHeld", membership != null && membership.held())
+                .put("peerFrames", peers == null ? 0 : peers.frames())
+                .put("peerBytes", peers == null ? 0 : peers.bytes())
+                .put("flights", flightStates)
+                .put("scheduler", SnapshotJson.of(scheduler.snapshot()))
+                .put("metrics", metrics.toJson());
+    }
+
+    /**
+     * A planned stop: refuses new work honestly, leaves the membership so agents stop reporting, waits
+     * up to the drain timeout for requests in progress to finish, then closes.
+     */
+    public Future<Void> drain() {
+        Promise<Void> done = Promise.promise();
+        control.runOnContext(v -> {
+            draining = true;
+            LOG.infof("router draining id=%s inFlight=%d", settings.routerId(), flights.size());
+            if (membership != null) {
+                membership.release();
+            }
+            waitForFlights(nowMs() + settings.drainTimeoutMs(), done);
+        });
+        return done.future().compose(v -> vertx.close());
+    }
+
+    private void waitForFlights(long untilMs, Promise<Void> done) {
+        if (flights.isEmpty() || nowMs() >= untilMs) {
+            LOG.infof("router drained id=%s left=%d", settings.routerId(), flights.size());
+            done.complete();
+            return;
+        }
+        vertx.setTimer(DRAIN_POLL_MS, t -> waitForFlights(untilMs, done));
+    }
+
+    @Override
+    public void close() {
+        vertx.close();
+    }
+
+    private <T> Future<T> onControl(Supplier<Future<T>> work) {
+        Promise<T> p = Promise.promise();
+        control.runOnContext(v -> work.get().onComplete(p));
+        return p.future();
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NS_PER_MS;
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
@@ -0,0 +1,46 @@
+package org.onyxhinge.router;
+
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.ext.web.Router;
+import org.onyxhinge.router.dispatch.Dispatcher;
+import org.onyxhinge.router.http.CallerApi;
+import org.onyxhinge.runtime.StatusEndpoints;
+
+/**
+ * One event loop of callers' traffic: its share of the callers' HTTP port, and its own HTTP client to
+ * the targets. Several instances share the port.
+ */
+final class TrafficVerticle extends VerticleBase {
+
+    private static final int POOL_PER_TARGET = 256;
+
+    private final RouterNode node;
+
+    TrafficVerticle(RouterNode node) {
+        this.node = node;
+    }
+
+    @Override
+    public Future<?> start() {
+        RouterSettings s = node.settings();
+        var client = vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true),
+                new PoolOptions().setHttp1MaxSize(POOL_PER_TARGET));
+        Dispatcher dispatcher = Dispatcher.create(client, node, node.metrics());
+        Router router = Router.router(vertx);
+        CallerApi.mount(
+                router,
+                s.maxBodyBytes(),
+                context,
+                dispatcher,
+                new CallerApi.Parts(node, node.metrics(), node::config, node::draining, node.ids()));
+        StatusEndpoints.mount(router, node.metrics().registry(), node::dump, () -> !node.draining());
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
+        return server.requestHandler(router).listen(s.httpPort(), s.host());
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/AdminService.java
@@ -0,0 +1,147 @@
+package org.onyxhinge.router.admin;
+
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.grpc.common.GrpcStatus;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerRequest;
+import org.jboss.logging.Logger;
+import org.onyxhinge.api.AdminMethods;
+import org.onyxhinge.api.v1.ConfigReply;
+import org.onyxhinge.api.v1.PutReply;
+import org.onyxhinge.api.v1.Versioned;
+import org.onyxhinge.core.model.ClusterConfig;
+import org.onyxhinge.router.config.ConfigException;
+import org.onyxhinge.router.config.ConfigKind;
+import org.onyxhinge.router.config.ConfigStore;
+import org.onyxhinge.router.config.PutOutcome;
+
+/**
+ * Serves {@code onyxhinge.admin.v1.Admin}: each put is checked, then written by compare-and-swap
+ * through the {@link ConfigStore}. Bad objects are answered {@code INVALID_ARGUMENT}, version
+ * conflicts {@code ABORTED} naming the version in force, and an unreachable store {@code UNAVAILABLE};
+ * nothing is written in any of these cases.
+ */
+public final class AdminService {
+
+    private static final Logger LOG = Logger.getLogger(AdminService.class);
+
+    private final ConfigStore store;
+    private final Context control;
+
+    private AdminService(ConfigStore store, Context control) {
+        this.store = store;
+        this.control = control;
+    }
+
+    /** Registers the service's methods on a Vert.x gRPC server. */
+    public static void mount(GrpcServer server, ConfigStore store, Context control) {
+        AdminService s = new AdminService(store, control);
+        server.callHandler(
+                AdminMethods.PUT_TIER,
+                req -> s.put(
+                        req,
+                        r -> new Write(
+                                ConfigKind.TIER,
+                                r.getTier().getName(),
+                                () -> ProtoMapping.tier(r.getTier()),
+                                r.getExpectedVersion(),
+                                r.getOperationId())));
+        server.callHandler(
+                AdminMethods.PUT_WORKSPACE,
+                req -> s.put(
+                        req,
+                        r -> new Write(
+                                ConfigKind.WORKSPACE,
+                                r.getWorkspace().getName(),
+                                () -> ProtoMapping.workspace(r.getWorkspace()),
+                                r.getExpectedVersion(),
+                                r.getOperationId())));
+        server.callHandler(
+                AdminMethods.PUT_SERVICE,
+                req -> s.put(
+                        req,
+                        r -> new Write(
+                                ConfigKind.SERVICE,
+                                r.getService().getName(),
+                                () -> ProtoMapping.service(r.getService()),
+                                r.getExpectedVersion(),
+                                r.getOperationId())));
+        server.callHandler(
+                AdminMethods.PUT_POOL,
+                req -> s.put(
+                        req,
+                        r -> new Write(
+                                ConfigKind.POOL,
+                                r.getPool().getName(),
+                                () -> ProtoMapping.pool(r.getPool()),
+                                r.getExpectedVersion(),
+                                r.getOperationId())));
+        server.callHandler(AdminMethods.GET_CONFIG, req -> req.handler(msg -> s.getConfig(req)));
+    }
+
+    private record Write(
+            ConfigKind kind, String name, Supplier<Record> value, long expectedVersion, String operationId) {}
+
+    private <T> void put(GrpcServerRequest<T, PutReply> req, Function<T, Write> toWrite) {
+        req.handler(msg -> {
+            Write w = toWrite.apply(msg);
+            Record value;
+            try {
+                value = w.value().get();
+            } catch (IllegalArgumentException e) {
+                req.response()
+                        .status(GrpcStatus.INVALID_ARGUMENT)
+                        .statusMessage(e.getMessage())
+                        .end();
+                return;
+            }
+            String op = w.operationId().isEmpty() ? java.util.UUID.randomUUID().toString() : w.operationId();
+            onControl(() -> store.put(w.kind(), w.name(), value, w.expectedVersion(), op))
+                    .onSuccess(out -> req.response().end(reply(out)))
+                    .onFailure(e -> fail(req, w, e));
+        });
+    }
+
+    private static PutReply reply(PutOutcome out) {
+        return PutReply.newBuilder()
+                .setVersion(out.version())
+                .setRevision(out.revision())
+                .setApplied(out.applied())
+                .build();
+    }
+
+    private void fail(GrpcServerRequest<?, PutReply> req, Write w, Throwable e) {
+        GrpcStatus status =
+                e instanceof ConfigException c && c.isConflict() ? GrpcStatus.ABORTED : GrpcStatus.UNAVAILABLE;
+        LOG.infof("admin put refused kind=%s name=%s status=%s error=%s", w.kind(), w.name(), status, e.getMessage());
+        req.response().status(status).statusMessage(e.getMessage()).end();
+    }
+
+    private void getConfig(GrpcServerRequest<?, ConfigReply> req) {
+        onControl(() -> Future.succeededFuture(configReply(store.current())))
+                .onSuccess(reply -> req.response().end(reply));
+    }
+
+    private ConfigReply configReply(ClusterConfig c) {
+        ConfigReply.Builder b = ConfigReply.newBuilder().setRevision(c.revision());
+        c.tiers().values().forEach(t -> b.addTiers(ProtoMapping.tierSpec(t)));
+        c.workspaces().values().forEach(w -> b.addWorkspaces(ProtoMapping.workspaceSpec(w)));
+        c.services().values().forEach(s -> b.addServices(ProtoMapping.serviceSpec(s)));
+        c.pools().values().forEach(p -> b.addPools(ProtoMapping.poolSpec(p)));
+        store.versions()
+                .forEach(
+                        (k, v) -> b.addVersions(Versioned.newBuilder().setKey(k).setVersion(v)));
+        return b.build();
+    }
+
+    private <T> Future<T> onControl(Supplier<Future<T>> work) {
+        Promise<T> p = Promise.promise();
+        control.runOnContext(v -> work.get().onComplete(p));
+        return p.future();
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' gRPC service of {@code admin.proto}, served by every router. */
+package org.onyxhinge.router.admin;
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/cli/RouterMain.java
@@ -0,0 +1,37 @@
+package org.onyxhinge.router.cli;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.onyxhinge.runtime.Launch;
+
+/** Entry point of the router binary. Run with {@code --help} for the commands. */
+@Cli(
+        name = "onyxhinge-router",
+        description = "onyxhinge router: schedules callers' requests over unlike engines",
+        defaultCommand = Help.class,
+        commands = {Help.class, RunCommand.class, DumpCommand.class},
+        groups = {
+            @Group(
+                    name = "admin",
+                    description = "Operators' changes through a router's gRPC admin port",
+                    commands = {AdminApplyCommand.class, AdminShowCommand.class})
+        })
+public final class RouterMain {
+
+    private RouterMain() {}
+
+    /** Parses the command line and runs the command. */
+    public static void main(String[] args) {
+        com.github.rvesse.airline.Cli<Runnable> cli = new com.github.rvesse.airline.Cli<>(RouterMain.class);
+        Runnable command;
+        try {
+            command = cli.parse(args);
+        } catch (ParseException e) {
+            Launch.fail(Launch.EXIT_USAGE, e.getMessage() + " (see onyxhinge-router help)");
+            return;
+        }
+        command.run();
+    }
+}
--- /dev/null
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/Launch.java
@@ -0,0 +1,65 @@
+package org.onyxhinge.runtime;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+
+/**
+ * Helpers for the binaries' {@code main}: exit codes, waiting on a future from the main thread, and
+ * running a node until the process is asked to stop, with a planned stop on SIGTERM or SIGINT.
+ */
+public final class Launch {
+
+    /** Exit code for a command line that cannot be parsed. */
+    public static final int EXIT_USAGE = 2;
+    /** Exit code for settings that cannot be used. */
+    public static final int EXIT_SETTINGS = 3;
+    /** Exit code for a failure while running. */
+    public static final int EXIT_FAILURE = 4;
+
+    private Launch() {}
+
+    /** Waits for a future from a thread that is not an event loop; throws its failure unchecked. */
+    public static <T> T await(Future<T> future, long timeoutMs) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause().getMessage(), e.getCause());
+        } catch (TimeoutException e) {
+            throw new IllegalStateException("no answer within " + timeoutMs + " ms", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    /** Blocks until the JVM is asked to stop; then runs {@code stop} and waits for it. */
+    public static void runUntilStopped(Supplier<Future<Void>> stop, long stopTimeoutMs) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                await(stop.get(), stopTimeoutMs);
+                            } finally {
+                                stopped.countDown();
+                            }
+                        },
+                        "planned-stop"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Prints a one-line error and exits with {@code code}. */
+    public static void fail(int code, String message) {
+        System.err.println("error: " + message);
+        System.exit(code);
+    }
+}
--- /dev/null
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
@@ -0,0 +1,275 @@
+package org.onyxhinge.standins.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.jboss.logging.Logger;
+
+/**
+ * A model engine stand-in that batches continuously, as real engines do. It speaks the OpenAI
+ * chat-completions shape ({@code POST /v1/chat/completions}, streamed as server-sent events), admits
+ * requests first come first served with no notion of priority, caches prompt prefixes (the system
+ * message) in limited memory, and publishes its load late ({@code GET /load}). Closing the connection
+ * cancels a request. {@code POST /admin/slowdown?factor=F} makes it F times slower without warning.
+ * {@code GET /stats} gives exact counts, wasted prefill among them, for the load tool.
+ *
+ * <p>Every step of {@link #STEP_MS} the batch shares the prefill budget first come first served, then
+ * each sequence past prefill gets its share of decode tokens.
+ */
+public final class EngineStandIn implements AutoCloseable {
+
+    /** Length of one batch step. */
+    public static final long STEP_MS = 10;
+
+    private static final Logger LOG = Logger.getLogger(EngineStandIn.class);
+    private static final String[] WORDS = {
+        "route", "crowding", "platform", "letter", "envelope", "forecast", "gate", "station", "draft", "print",
+        "address", "corridor", "supervisor", "hour", "bus", "campaign", "appeal", "household", "marshal", "slot"
+    };
+    private static final long MS_PER_SECOND = 1_000;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final EngineSpec spec;
+    private final ArrayDeque<Sequence> waiting = new ArrayDeque<>();
+    private final List<Sequence> running = new ArrayList<>();
+    private final LinkedHashMap<Long, Boolean> cache;
+    private final List<Long> newlyCached = new ArrayList<>();
+    private JsonObject publishedLoad = new JsonObject();
+    private HttpServer server;
+    private double slowdown = 1.0;
+    private long stepTimer;
+    private long loadTimer;
+    private long prefillComputed;
+    private long prefillWasted;
+    private long completed;
+    private long cancelled;
+    private long tokensGenerated;
+
+    private EngineStandIn(Vertx vertx, EngineSpec spec) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.spec = spec;
+        this.cache = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                return size() > spec.cachePrefixes();
+            }
+        };
+    }
+
+    /** Starts the engine on {@code host:port} (0 for any free port). */
+    public static Future<EngineStandIn> start(Vertx vertx, String host, int port, EngineSpec spec) {
+        EngineStandIn engine = new EngineStandIn(vertx, spec);
+        Promise<EngineStandIn> done = Promise.promise();
+        engine.context.runOnContext(v -> engine.listen(host, port).map(engine).onComplete(done));
+        return done.future();
+    }
+
+    /** The port it listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** What it was started with. */
+    public EngineSpec spec() {
+        return spec;
+    }
+
+    @Override
+    public void close() {
+        vertx.cancelTimer(stepTimer);
+        vertx.cancelTimer(loadTimer);
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    private Future<Void> listen(String host, int port) {
+        stepTimer = vertx.setPeriodic(STEP_MS, t -> step());
+        loadTimer = vertx.setPeriodic(Math.max(STEP_MS, spec.loadLagMs()), t -> publishLoad());
+        publishLoad();
+        server = vertx.createHttpServer().requestHandler(this::handle);
+        return server.listen(port, host).mapEmpty();
+    }
+
+    private void handle(HttpServerRequest req) {
+        String path = req.path();
+        if (path.equals("/v1/chat/completions") && req.method().name().equals("POST")) {
+            req.body().onSuccess(body -> context.runOnContext(v -> admit(req, body.toString())));
+        } else if (path.equals("/load")) {
+            req.response().putHeader("content-type", "application/json").end(publishedLoad.encode());
+        } else if (path.equals("/stats")) {
+            context.runOnContext(v ->
+                    req.response().putHeader("content-type", "application/json").end(stats().encode()));
+        } else if (path.equals("/admin/slowdown")) {
+            double factor = Double.parseDouble(req.getParam("factor", "1"));
+            context.runOnContext(v -> {
+                slowdown = Math.max(0.1, factor);
+                req.response().end("slowdown " + slowdown + "\n");
+            });
+        } else {
+            req.response().setStatusCode(404).end();
+        }
+    }
+
+    private void admit(HttpServerRequest req, String text) {
+        JsonObject body;
+        try {
+            body = new JsonObject(text);
+        } catch (DecodeException e) {
+            req.response().setStatusCode(400).end("{\"error\":\"body is not JSON\"}");
+            return;
+        }
+        JsonArray messages = body.getJsonArray("messages", new JsonArray());
+        Prompt prompt = Prompt.of(messages);
+        boolean hit = prompt.prefixHash() != 0 && cache.containsKey(prompt.prefixHash());
+        int cachedTokens = hit ? Math.min(prompt.prefixTokens(), prompt.tokens()) : 0;
+        String id = req.getHeader("x-request-id") == null ? "eng-" + System.nanoTime() : req.getHeader("x-request-id");
+        boolean stream = body.getBoolean("stream", false);
+        Sequence s = new Sequence(id, req.response(), stream, prompt, cachedTokens, body.getInteger("max_tokens", 16));
+        if (stream) {
+            req.response().setChunked(true).putHeader("content-type", "text/event-stream");
+        }
+        req.response().closeHandler(v -> s.cancelled = true);
+        waiting.addLast(s);
+    }
+
+    private void step() {
+        dropCancelled();
+        while (running.size() < spec.maxBatch() && !waiting.isEmpty()) {
+            running.add(waiting.pollFirst());
+        }
+        long prefillBudget = (long) (spec.prefillTokensPerSecond() * STEP_MS / MS_PER_SECOND / slowdown);
+        double decodeShare = spec.decodeTokensPerSecond() * STEP_MS / (double) MS_PER_SECOND / slowdown;
+        for (Iterator<Sequence> it = running.iterator(); it.hasNext(); ) {
+            Sequence s = it.next();
+            if (s.inPrefill()) {
+                prefillBudget -= prefill(s, prefillBudget);
+            } else if (decode(s, decodeShare)) {
+                it.remove();
+                finish(s);
+            }
+        }
+    }
+
+    private long prefill(Sequence s, long budget) {
+        int take = (int) Math.min(budget, s.promptTokens - s.prefilled);
+        s.prefilled += take;
+        prefillComputed += take;
+        if (!s.inPrefill() && s.prefixHash != 0 && cache.put(s.prefixHash, Boolean.TRUE) == null) {
+            newlyCached.add(s.prefixHash);
+        }
+        return take;
+    }
+
+    private boolean decode(Sequence s, double share) {
+        s.decodeCredit += share;
+        while (s.decodeCredit >= 1 && !s.finished()) {
+            s.decodeCredit -= 1;
+            String word = WORDS[(int) Math.floorMod(s.promptHash + 31L * s.generated, (long) WORDS.length)];
+            s.generated++;
+            tokensGenerated++;
+            emit(s, word + " ");
+        }
+        return s.finished();
+    }
+
+    private void emit(Sequence s, String piece) {
+        if (s.stream) {
+            JsonObject delta = new JsonObject().put("content", piece);
+            s.response.write("data: " + chunk(s, delta, null).encode() + "\n\n");
+        } else {
+            s.text.append(piece);
+        }
+    }
+
+    private void finish(Sequence s) {
+        completed++;
+        JsonObject usage = new JsonObject()
+                .put("prompt_tokens", s.promptTokens)
+                .put("completion_tokens", s.generated)
+                .put("cached_tokens", s.cachedTokens);
+        if (s.stream) {
+            JsonObject last = chunk(s, new JsonObject(), "length").put("usage", usage);
+            s.response.write("data: " + last.encode() + "\n\n");
+            s.response.end("data: [DONE]\n\n");
+        } else {
+            JsonObject message = new JsonObject().put("role", "assistant").put("content", s.text.toString());
+            JsonObject choice =
+                    new JsonObject().put("index", 0).put("message", message).put("finish_reason", "length");
+            s.response
+                    .putHeader("content-type", "application/json")
+                    .end(new JsonObject()
+                            .put("id", s.id)
+                            .put("object", "chat.completion")
+                            .put("choices", new JsonArray().add(choice))
+                            .put("usage", usage)
+                            .encode());
+        }
+    }
+
+    private JsonObject chunk(Sequence s, JsonObject delta, String finishReason) {
+        JsonObject choice = new JsonObject().put("index", 0).put("delta", delta).put("finish_reason", finishReason);
+        return new JsonObject()
+                .put("id", s.id)
+                .put("object", "chat.completion.chunk")
+                .put("model", spec.engineId())
+                .put("choices", new JsonArray().add(choice));
+    }
+
+    private void dropCancelled() {
+        for (Iterator<Sequence> it = running.iterator(); it.hasNext(); ) {
+            Sequence s = it.next();
+            if (s.cancelled) {
+                it.remove();
+                cancelled++;
+                prefillWasted += s.prefilled - s.cachedTokens;
+                LOG.debugf("engine cancelled engine=%s request=%s", spec.engineId(), s.id);
+            }
+        }
+        waiting.removeIf(s -> s.cancelled);
+    }
+
+    private void publishLoad() {
+        JsonArray prefixes = new JsonArray();
+        newlyCached.forEach(prefixes::add);
+        newlyCached.clear();
+        publishedLoad = new JsonObject()
+                .put("engineId", spec.engineId())
+                .put("running", running.size())
+                .put("waiting", waiting.size())
+                .put("maxBatch", spec.maxBatch())
+                .put("prefillTokensPerSecond", (int) (spec.prefillTokensPerSecond() / slowdown))
+                .put("decodeTokensPerSecond", (int) Math.max(1, spec.decodeTokensPerSecond() / slowdown))
+                .put("checksFencing", spec.checksFencing())
+                .put("cachedPrefixes", prefixes);
+    }
+
+    private JsonObject stats() {
+        return new JsonObject()
+                .put("engineId", spec.engineId())
+                .put("prefillTokensComputed", prefillComputed)
+                .put("prefillTokensWasted", prefillWasted)
+                .put("completed", completed)
+                .put("cancelled", cancelled)
+                .put("tokensGenerated", tokensGenerated)
+                .put("running", running.size())
+                .put("waiting", waiting.size());
+    }
+}
--- /dev/null
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/ToolsMain.java
@@ -0,0 +1,41 @@
+package org.onyxhinge.tools;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.tools.demo.DemoCommand;
+import org.onyxhinge.tools.standin.EngineCommand;
+import org.onyxhinge.tools.standin.KvCommand;
+import org.onyxhinge.tools.standin.ServiceCommand;
+
+/** Entry point of the tools: stand-ins, demo, load. Run with {@code --help} for the commands. */
+@Cli(
+        name = "onyxhinge-tools",
+        description = "onyxhinge tools: platform stand-ins, the embedded demo, the load tool",
+        defaultCommand = Help.class,
+        commands = {Help.class, DemoCommand.class},
+        groups = {
+            @Group(
+                    name = "standin",
+                    description = "Run one stand-in of the platform as its own process",
+                    commands = {KvCommand.class, EngineCommand.class, ServiceCommand.class})
+        })
+public final class ToolsMain {
+
+    private ToolsMain() {}
+
+    /** Parses the command line and runs the command. */
+    public static void main(String[] args) {
+        com.github.rvesse.airline.Cli<Runnable> cli = new com.github.rvesse.airline.Cli<>(ToolsMain.class);
+        Runnable command;
+        try {
+            command = cli.parse(args);
+        } catch (ParseException e) {
+            Launch.fail(Launch.EXIT_USAGE, e.getMessage() + " (see onyxhinge-tools help)");
+            return;
+        }
+        command.run();
+    }
+}
--- /dev/null
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Driver.java
@@ -0,0 +1,206 @@
+package org.onyxhinge.tools.load;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+
+/**
+ * Sends a workload to one router over loopback, each item at its time, and collects an {@link
+ * Outcome} per item. Bounded: every item is sent once and waited for at most {@code timeoutMs}.
+ */
+public final class Driver implements AutoCloseable {
+
+    private static final int NS_PER_MS = 1_000_000;
+    private static final int POOL = 1_024;
+
+    private final Vertx vertx;
+    private final HttpClient http;
+    private final String host;
+    private final int port;
+    private final long timeoutMs;
+
+    private Driver(Vertx vertx, String host, int port, long timeoutMs) {
+        this.vertx = vertx;
+        this.host = host;
+        this.port = port;
+        this.timeoutMs = timeoutMs;
+        this.http = vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(true), new PoolOptions().setHttp1MaxSize(POOL));
+    }
+
+    /** Creates a driver for the router at {@code host:port}. */
+    public static Driver create(Vertx vertx, String host, int port, long timeoutMs) {
+        return new Driver(vertx, host, port, timeoutMs);
+    }
+
+    /** Sends every item at its time; completes when all have answered or timed out. */
+    public Future<List<Outcome>> run(List<WorkItem> items) {
+        List<Future<Outcome>> all = new ArrayList<>();
+        for (WorkItem item : items) {
+            Promise<Outcome> p = Promise.promise();
+            vertx.setTimer(Math.max(1, item.atMs()), t -> send(item).onComplete(p));
+            all.add(p.future());
+        }
+        return Future.join(all).map(cf -> {
+            List<Outcome> out = new ArrayList<>();
+            all.forEach(f -> out.add(f.result()));
+            return out;
+        });
+    }
+
+    /** Sends one item now. */
+    public Future<Outcome> send(WorkItem item) {
+        long startNs = System.nanoTime();
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(host)
+                .setPort(port)
+                .setURI(item.plain() ? "/v1/calls/" + item.service() : "/v1/chat/completions")
+                .setIdleTimeout(timeoutMs)
+                .putHeader("content-type", "application/json")
+                .putHeader("X-Onyx-Workspace", item.workspace())
+                .putHeader("X-Onyx-Tier", item.tier());
+        if (!item.key().isEmpty()) {
+            options.putHeader("Idempotency-Key", item.key());
+        }
+        Promise<Outcome> done = Promise.promise();
+        http.request(options)
+                .compose(req -> req.send(body(item).toBuffer()))
+                .onSuccess(resp -> read(item, resp, startNs, done))
+                .onFailure(e -> done.tryComplete(failed(item, startNs, "transport: " + e.getMessage())));
+        return done.future();
+    }
+
+    private static JsonObject body(WorkItem item) {
+        String ask = Texts.words(item.key().isEmpty() ? item.service() + item.atMs() : item.key(), item.askWords());
+        if (item.plain()) {
+            return new JsonObject().put("instruction", ask);
+        }
+        JsonArray messages = new JsonArray();
+        if (item.briefWords() > 0) {
+            messages.add(new JsonObject()
+                    .put("role", "system")
+                    .put("content", Texts.words(item.brief(), item.briefWords())));
+        }
+        messages.add(new JsonObject().put("role", "user").put("content", ask));
+        return new JsonObject()
+                .put("model", item.service())
+                .put("messages", messages)
+                .put("max_tokens", item.maxTokens())
+                .put("stream", true);
+    }
+
+    private void read(WorkItem item, HttpClientResponse resp, long startNs, Promise<Outcome> done) {
+        if (resp.statusCode() != 200 || item.plain()) {
+            resp.body()
+                    .onSuccess(b -> done.tryComplete(whole(item, resp.statusCode(), startNs, b.toString())))
+                    .onFailure(e -> done.tryComplete(failed(item, startNs, e.getMessage())));
+            return;
+        }
+        Stream s = new Stream(item, startNs, resp.getHeader("x-request-id"));
+        resp.handler(RecordParser.newDelimited("\n\n", ev -> s.event(ev.toString())));
+        resp.exceptionHandler(e -> done.tryComplete(s.outcome(false)));
+        resp.endHandler(v -> done.tryComplete(s.outcome(s.done && s.errorType.isEmpty())));
+    }
+
+    private static Outcome whole(WorkItem item, int status, long startNs, String body) {
+        long ms = (System.nanoTime() - startNs) / NS_PER_MS;
+        JsonObject j;
+        try {
+            j = new JsonObject(body);
+        } catch (DecodeException e) {
+            return new Outcome(item, status, "", false, 0, -1, ms, "malformed", false, 0, body);
+        }
+        JsonObject err = j.getJsonObject("error");
+        if (err != null) {
+            return new Outcome(
+                    item,
+                    status,
+                    err.getString("request_id", ""),
+                    false,
+                    0,
+                    -1,
+                    ms,
+                    err.getString("type", ""),
+                    err.getBoolean("not_run", false),
+                    err.getLong("retry_after_ms", 0L),
+                    "");
+        }
+        return new Outcome(item, status, j.getString("id", ""), status == 200, 1, ms, ms, "", false, 0, j.encode());
+    }
+
+    private static Outcome failed(WorkItem item, long startNs, String why) {
+        return new Outcome(item, 0, "", false, 0, -1, (System.nanoTime() - startNs) / NS_PER_MS, why, false, 0, "");
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+
+    /** The state of one streamed answer as it arrives. */
+    private static final class Stream {
+        private final WorkItem item;
+        private final long startNs;
+        private final StringBuilder text = new StringBuilder();
+        private String requestId;
+        private long firstMs = -1;
+        private int tokens;
+        private boolean done;
+        private String errorType = "";
+        private boolean notRun;
+
+        private Stream(WorkItem item, long startNs, String requestId) {
+            this.item = item;
+            this.startNs = startNs;
+            this.requestId = requestId == null ? "" : requestId;
+        }
+
+        private void event(String ev) {
+            if (!ev.startsWith("data: ")) {
+                return;
+            }
+            String data = ev.substring("data: ".length()).trim();
+            if (data.equals("[DONE]")) {
+                done = true;
+                return;
+            }
+            JsonObject j = new JsonObject(data);
+            if (j.containsKey("error")) {
+                errorType = j.getJsonObject("error").getString("type", "error");
+                notRun = j.getJsonObject("error").getBoolean("not_run", false);
+                return;
+            }
+            requestId = j.getString("id", requestId);
+            String piece = j.getJsonArray("choices")
+                    .getJsonObject(0)
+                    .getJsonObject("delta")
+                    .getString("content");
+            if (piece != null) {
+                if (firstMs < 0) {
+                    firstMs = (System.nanoTime() - startNs) / NS_PER_MS;
+                }
+                tokens++;
+                text.append(piece);
+            }
+        }
+
+        private Outcome outcome(boolean whole) {
+            long ms = (System.nanoTime() - startNs) / NS_PER_MS;
+            return new Outcome(item, 200, requestId, whole, tokens, firstMs, ms, errorType, notRun, 0, text.toString());
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
@@ -0,0 +1,254 @@
+package org.onyxhinge.wire.kv;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongFunction;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import org.jboss.logging.Logger;
+import org.onyxhinge.wire.frame.FrameReader;
+import org.onyxhinge.wire.frame.WireException;
+
+/**
+ * A client of the key-value service over one TCP connection, reconnecting with backoff. Calls fail
+ * fast with {@link KvException} while the service is unreachable, and after {@code callTimeoutMs}
+ * without a reply; the write may still have taken effect, so callers that must know read back.
+ * Watches are made again after a reconnect, from the last revision they saw.
+ *
+ * <p>All state lives on the context the client was created on; methods may be called from any thread.
+ */
+public final class KvClient implements AutoCloseable {
+
+    private static final Logger LOG = Logger.getLogger(KvClient.class);
+    private static final long MAX_BACKOFF_MS = 2_000;
+    private static final long FIRST_BACKOFF_MS = 50;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final String host;
+    private final int port;
+    private final long callTimeoutMs;
+    private final NetClient net;
+    private final Map<Long, Promise<KvMessage.Reply>> pending = new HashMap<>();
+    private final Map<Long, WatchState> watches = new HashMap<>();
+    private NetSocket socket;
+    private long nextCallId = 1;
+    private long backoffMs = FIRST_BACKOFF_MS;
+    private long callCount;
+    private boolean closed;
+
+    private KvClient(Vertx vertx, String host, int port, long callTimeoutMs) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.host = host;
+        this.port = port;
+        this.callTimeoutMs = callTimeoutMs;
+        this.net = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout((int) callTimeoutMs).setTcpNoDelay(true));
+    }
+
+    /** Creates a client and starts connecting; calls made before the connection is up fail as unavailable. */
+    public static KvClient connect(Vertx vertx, String host, int port, long callTimeoutMs) {
+        KvClient client = new KvClient(vertx, host, port, callTimeoutMs);
+        client.context.runOnContext(v -> client.dial());
+        return client;
+    }
+
+    /** Reads one key; empty list when absent. */
+    public Future<KvMessage.Reply> get(String key) {
+        return call(id -> new KvMessage.Get(id, key));
+    }
+
+    /** Reads every key under a prefix. */
+    public Future<KvMessage.Reply> range(String prefix) {
+        return call(id -> new KvMessage.Range(id, prefix));
+    }
+
+    /** Compare-and-swap write; fails with {@link KvStatus#CONFLICT} when the version differs. */
+    public Future<KvMessage.Reply> put(String key, byte[] value, long expectedVersion, long leaseId) {
+        return call(id -> new KvMessage.Put(id, key, value, expectedVersion, leaseId));
+    }
+
+    /** Compare-and-swap delete. */
+    public Future<KvMessage.Reply> delete(String key, long expectedVersion) {
+        return call(id -> new KvMessage.Delete(id, key, expectedVersion));
+    }
+
+    /** Grants a lease; the reply's {@code leaseId} names it. */
+    public Future<KvMessage.Reply> grant(long ttlMs) {
+        return call(id -> new KvMessage.LeaseGrant(id, ttlMs));
+    }
+
+    /** Keeps a lease alive; fails with {@link KvStatus#NOT_FOUND} once it has lapsed. */
+    public Future<KvMessage.Reply> keepAlive(long leaseId) {
+        return call(id -> new KvMessage.LeaseKeepAlive(id, leaseId));
+    }
+
+    /** Ends a lease and deletes its keys. */
+    public Future<KvMessage.Reply> revoke(long leaseId) {
+        return call(id -> new KvMessage.LeaseRevoke(id, leaseId));
+    }
+
+    /**
+     * Watches a prefix from {@code fromRevision}; {@code events} runs on the client's context for every
+     * change, also those replayed after a reconnect.
+     */
+    public void watch(String prefix, long fromRevision, Handler<KvMessage.Event> events) {
+        context.runOnContext(v -> {
+            long id = nextCallId++;
+            watches.put(id, new WatchState(prefix, fromRevision, events));
+            sendWatch(id);
+        });
+    }
+
+    /** Calls made so far, for the key-value budget figures. */
+    public long callCount() {
+        return callCount;
+    }
+
+    /** True while the connection is up. */
+    public boolean connected() {
+        return socket != null;
+    }
+
+    @Override
+    public void close() {
+        context.runOnContext(v -> {
+            closed = true;
+            failAll("client closed");
+            net.close();
+        });
+    }
+
+    private Future<KvMessage.Reply> call(LongFunction<KvMessage.Call> make) {
+        Promise<KvMessage.Reply> promise = Promise.promise();
+        context.runOnContext(v -> send(make.apply(nextCallId++), promise));
+        return promise.future().compose(this::checkStatus);
+    }
+
+    private void send(KvMessage.Call call, Promise<KvMessage.Reply> promise) {
+        if (socket == null) {
+            promise.fail(KvException.unavailable("key-value service " + host + ":" + port + " not connected"));
+            return;
+        }
+        callCount++;
+        pending.put(call.callId(), promise);
+        vertx.setTimer(callTimeoutMs, t -> {
+            Promise<KvMessage.Reply> p = pending.remove(call.callId());
+            if (p != null) {
+                p.fail(KvException.unavailable("no reply within " + callTimeoutMs + " ms"));
+            }
+        });
+        socket.write(FrameReader.frame(KvCodec.encode(call)));
+    }
+
+    private Future<KvMessage.Reply> checkStatus(KvMessage.Reply reply) {
+        if (reply.status() == KvStatus.OK) {
+            return Future.succeededFuture(reply);
+        }
+        KvEntry current = reply.entries().isEmpty() ? null : reply.entries().get(0);
+        String key = current == null ? "call " + reply.callId() : current.key();
+        return Future.failedFuture(KvException.of(reply.status(), key, current));
+    }
+
+    private void dial() {
+        if (closed) {
+            return;
+        }
+        net.connect(port, host).onSuccess(this::connected).onFailure(e -> retryLater());
+    }
+
+    private void connected(NetSocket s) {
+        socket = s;
+        backoffMs = FIRST_BACKOFF_MS;
+        s.handler(FrameReader.create(this::frame, this::badFrame));
+        s.closeHandler(v -> lost());
+        watches.keySet().forEach(this::sendWatch);
+        LOG.debugf("kv connected host=%s port=%d", host, port);
+    }
+
+    private void lost() {
+        socket = null;
+        failAll("connection to key-value service lost");
+        retryLater();
+    }
+
+    private void retryLater() {
+        if (!closed) {
+            vertx.setTimer(backoffMs, t -> dial());
+            backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+        }
+    }
+
+    private void failAll(String why) {
+        List<Promise<KvMessage.Reply>> all = List.copyOf(pending.values());
+        pending.clear();
+        all.forEach(p -> p.tryFail(KvException.unavailable(why)));
+    }
+
+    private void sendWatch(long id) {
+        WatchState w = watches.get(id);
+        if (socket != null && w != null) {
+            callCount++;
+            socket.write(FrameReader.frame(KvCodec.encode(new KvMessage.Watch(id, w.prefix, w.lastRevision))));
+        }
+    }
+
+    private void frame(Buffer body) {
+        KvMessage m;
+        try {
+            m = KvCodec.decode(body.getBytes());
+        } catch (WireException e) {
+            badFrame(e);
+            return;
+        }
+        switch (m) {
+            case KvMessage.Reply r -> reply(r);
+            case KvMessage.Event e -> event(e);
+            case KvMessage.Call c -> badFrame(new WireException("service sent a call " + c));
+        }
+    }
+
+    private void reply(KvMessage.Reply r) {
+        Promise<KvMessage.Reply> p = pending.remove(r.callId());
+        if (p != null) {
+            p.tryComplete(r);
+        }
+    }
+
+    private void event(KvMessage.Event e) {
+        WatchState w = watches.get(e.watchId());
+        if (w != null && e.revision() > w.lastRevision) {
+            w.lastRevision = e.revision();
+            w.events.handle(e);
+        }
+    }
+
+    private void badFrame(WireException e) {
+        LOG.warnf("kv bad frame from host=%s port=%d error=%s", host, port, e.getMessage());
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+    private static final class WatchState {
+        private final String prefix;
+        private final Handler<KvMessage.Event> events;
+        private long lastRevision;
+
+        private WatchState(String prefix, long fromRevision, Handler<KvMessage.Event> events) {
+            this.prefix = prefix;
+            this.lastRevision = fromRevision;
+            this.events = events;
+        }
+    }
+}
--- /dev/null
+++ b/scripts/jdk.sh
@@ -0,0 +1,15 @@
+# Sourced by the scripts and .ci/run: picks a JDK of version 21 or newer for Maven and the binaries.
+# onyxhinge needs Java 21 for pattern matching in switch; Debian 12's default JDK is 17.
+if [ -z "${JAVA_HOME:-}" ] || ! "$JAVA_HOME/bin/java" -version 2>&1 | grep -qE 'version "(2[1-9]|[3-9][0-9])'; then
+  for candidate in /usr/lib/jvm/temurin-25-jdk-amd64 /usr/lib/jvm/temurin-21-jdk-amd64 /usr/lib/jvm/java-21-openjdk-amd64; do
+    if [ -x "$candidate/bin/java" ]; then
+      export JAVA_HOME="$candidate"
+      break
+    fi
+  done
+fi
+if [ -z "${JAVA_HOME:-}" ] || [ ! -x "$JAVA_HOME/bin/java" ]; then
+  echo "onyxhinge: no JDK 21 or newer found; set JAVA_HOME to one" >&2
+  return 1 2>/dev/null || exit 1
+fi
+export PATH="$JAVA_HOME/bin:$PATH"
--- /dev/null
+++ b/scripts/regen-proto.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Regenerates the committed protobuf classes of onyxhinge-api from admin.proto.
+# The build never runs this: generated code is committed so no generator is needed to build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=$(mktemp -d)
+mvn -q dependency:copy -Dartifact=com.google.protobuf:protoc:4.36.2:exe:linux-x86_64 -DoutputDirectory="$out"
+chmod +x "$out"/protoc-*.exe
+rm -rf onyxhinge-api/src/main/java/org/onyxhinge/api/v1
+"$out"/protoc-*.exe --proto_path=onyxhinge-api/src/main/proto --java_out=onyxhinge-api/src/main/java \
+  onyxhinge-api/src/main/proto/onyxhinge/admin/v1/admin.proto
+echo "regenerated into onyxhinge-api/src/main/java/org/onyxhinge/api/v1"
