Scheduler: stop lower tiers before refusing a higher one; seeded property and decoder fuzz tests

Cause: the first scheduler stopped at most one lower-tier request, and only when no engine had a free slot; a higher-tier request could still be refused while lower-tier work on an engine held the prefill ahead of it. Also, a request too large for its tier's first-token budget on an idle target was refused like a capacity shortage, which reads as shedding.

Change: before refusing for capacity, the scheduler looks for the engine where stopping the fewest lower-tier requests (lowest tier, newest first) frees a slot and lets the request start in time, and stops only those. Queued requests that can no longer start in time go the same way. Requests that even an idle target could not start in time get BUDGET_TOO_SMALL (422, not run). The shedding rule is asserted inside the scheduler (Invariants, on in tests).

DecoderProperties: 6,000 random byte strings into the peer and key-value decoders raise only WireException; encode/decode round trips hold.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
@@ -93,9 +93,14 @@
      * step.
      */
     long firstTokenEstimateMs(RequestSpec spec) {
+        return firstTokenEstimateMs(spec, java.util.Set.of());
+    }
+
+    /** The same estimate as if the requests in {@code without} were no longer here. */
+    long firstTokenEstimateMs(RequestSpec spec, java.util.Set<String> without) {
         long ahead = 0;
         for (Running r : running.values()) {
-            if (!r.firstTokenSeen()) {
+            if (!r.firstTokenSeen() && !without.contains(r.spec().requestId())) {
                 ahead += uncachedTokens(r.spec());
             }
         }
@@ -103,6 +108,12 @@
         return prefill + MS_PER_SECOND / info.decodeTokensPerSecond();
     }
 
+    /** The estimate on this engine with nothing else waiting for prefill. */
+    long idleEstimateMs(RequestSpec spec) {
+        return uncachedTokens(spec) * MS_PER_SECOND / info.prefillTokensPerSecond()
+                + MS_PER_SECOND / info.decodeTokensPerSecond();
+    }
+
     private long uncachedTokens(RequestSpec spec) {
         boolean cached = spec.prefixHash() != 0 && prefixes.holds(spec.prefixHash());
         return spec.promptTokens() - (cached ? Math.min(spec.prefixTokens(), spec.promptTokens()) : 0);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
@@ -23,6 +23,8 @@
     NO_TARGET(503, true),
     /** The request cannot get its first token within its tier's budget. */
     DEADLINE_UNREACHABLE(503, true),
+    /** Even an idle target could not start the request within its tier's budget; a larger budget is needed. */
+    BUDGET_TOO_SMALL(422, true),
     /** The router is shutting down and takes no new work. */
     DRAINING(503, true),
     /** A non-idempotent request with this key has already been run or is running. */
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
@@ -0,0 +1,162 @@
+package org.onyxhinge.core.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.onyxhinge.core.model.RequestSpec;
+import org.onyxhinge.core.model.Tier;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Long randomised runs of the scheduler with the brief's promises checked inside it ({@link
+ * Invariants}) and over its actions here: every request gets exactly one final answer, none is
+ * dispatched twice, and a refused request was never dispatched and is told so. The shedding rule (no
+ * higher tier refused while stopping lower-tier work would let it start) is asserted inside the
+ * scheduler, which these runs enable.
+ */
+class SchedulerProperties {
+
+    private static final Tier[] TIERS = {
+        new Tier("gold", 0, 500, 61, 10_000),
+        new Tier("silver", 1, 1_500, 200, 60_000),
+        new Tier("bronze", 2, 20_000, 1_000, 600_000)
+    };
+
+    @Property(tries = 200, seed = "42")
+    void everyRequestEndsOnceAndNoneIsDispatchedTwice(
+            @ForAll @LongRange(min = 1, max = Long.MAX_VALUE) long seed,
+            @ForAll @IntRange(min = 1, max = 6) int engines) {
+        Run run = new Run(seed, engines);
+        run.play(600);
+        run.finishEverything();
+        assertThat(run.open(), is(empty()));
+        assertThat(run.ended.size(), equalTo(run.submitted));
+    }
+
+    /** One randomised session against a scheduler, checking each action as it comes. */
+    private static final class Run {
+        private final Random random;
+        private final Scheduler scheduler = Scheduler.create(new SchedulerSettings(8, 3_000, 500, 64));
+        private final Set<String> dispatched = new HashSet<>();
+        private final Map<String, RequestSpec> running = new HashMap<>();
+        private final Map<String, String> ended = new HashMap<>();
+        private final Map<String, RequestSpec> all = new HashMap<>();
+        private long nowMs = 1_000;
+        private int submitted;
+
+        private Run(long seed, int engines) {
+            this.random = new Random(seed);
+            for (int i = 0; i < engines; i++) {
+                EngineInfo info = new EngineInfo(
+                        "e" + i,
+                        "p",
+                        "h",
+                        i,
+                        1 + random.nextInt(4),
+                        2_000 + random.nextInt(40_000),
+                        20 + random.nextInt(100),
+                        false);
+                scheduler.engineJoined(info, nowMs);
+            }
+        }
+
+        private void play(int steps) {
+            for (int i = 0; i < steps; i++) {
+                nowMs += random.nextInt(40);
+                int pick = random.nextInt(10);
+                if (pick < 5) {
+                    submit();
+                } else if (pick < 8 && !running.isEmpty()) {
+                    finishOne();
+                } else {
+                    apply(scheduler.tick(nowMs));
+                }
+            }
+        }
+
+        private void submit() {
+            Tier tier = TIERS[random.nextInt(TIERS.length)];
+            String id = "q" + submitted++;
+            RequestSpec spec = new RequestSpec(
+                    id,
+                    "w" + random.nextInt(3),
+                    tier,
+                    "s",
+                    "p",
+                    1 + random.nextInt(3_000),
+                    1 + random.nextInt(200),
+                    random.nextInt(4),
+                    50,
+                    "",
+                    false,
+                    nowMs);
+            all.put(id, spec);
+            apply(scheduler.submit(spec, 20, nowMs));
+        }
+
+        private void finishOne() {
+            List<String> ids = new ArrayList<>(running.keySet());
+            String id = ids.get(random.nextInt(ids.size()));
+            running.remove(id);
+            end(id, "completed");
+            apply(scheduler.finished(id, nowMs));
+        }
+
+        private void finishEverything() {
+            for (int guard = 0; guard < 10_000 && open().size() > 0; guard++) {
+                nowMs += 100;
+                if (!running.isEmpty()) {
+                    finishOne();
+                } else {
+                    apply(scheduler.tick(nowMs));
+                }
+            }
+        }
+
+        private Set<String> open() {
+            Set<String> open = new HashSet<>(all.keySet());
+            open.removeAll(ended.keySet());
+            return open;
+        }
+
+        private void apply(List<Action> actions) {
+            for (Action a : actions) {
+                switch (a) {
+                    case Action.Dispatch d -> {
+                        assertThat("dispatched twice: " + d.requestId(), dispatched.add(d.requestId()), is(true));
+                        running.put(d.requestId(), d.spec());
+                    }
+                    case Action.Refuse r -> {
+                        assertThat(
+                                "refused after dispatch: " + r.requestId(),
+                                dispatched.contains(r.requestId()),
+                                is(false));
+                        assertThat(r.refusal().reason().notRun(), is(true));
+                        end(r.requestId(), "refused");
+                    }
+                    case Action.Cancel c -> {
+                        running.remove(c.requestId());
+                        end(c.requestId(), "cancelled");
+                    }
+                }
+            }
+        }
+
+        private void end(String id, String how) {
+            assertThat("ended twice: " + id, ended.put(id, how) == null, is(true));
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -0,0 +1,60 @@
+package org.onyxhinge.wire;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.onyxhinge.core.schedule.EngineInfo;
+import org.onyxhinge.wire.frame.WireException;
+import org.onyxhinge.wire.kv.KvCodec;
+import org.onyxhinge.wire.kv.KvMessage;
+import org.onyxhinge.wire.peer.PeerCodec;
+import org.onyxhinge.wire.peer.PeerMessage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+/**
+ * Fuzzing of the decoders that read bytes from the network: any byte string either decodes or raises
+ * {@link WireException}, never another exception; and what is encoded decodes to the same message.
+ */
+class DecoderProperties {
+
+    @Property(tries = 3_000, seed = "7")
+    void peerDecoderRejectsGarbageWithItsOwnError(@ForAll @Size(max = 200) byte[] bytes) {
+        try {
+            PeerCodec.decode(bytes);
+        } catch (WireException expected) {
+            // the only failure allowed
+        }
+    }
+
+    @Property(tries = 3_000, seed = "8")
+    void kvDecoderRejectsGarbageWithItsOwnError(@ForAll @Size(max = 200) byte[] bytes) {
+        try {
+            KvCodec.decode(bytes);
+        } catch (WireException expected) {
+            // the only failure allowed
+        }
+    }
+
+    @Property(tries = 500, seed = "9")
+    void peerMessagesSurviveTheRoundTrip(
+            @ForAll int running, @ForAll int waiting, @ForAll List<Long> prefixes, @ForAll boolean draining) {
+        PeerMessage.Load load = new PeerMessage.Load(
+                "e1", running, waiting, prefixes.subList(0, Math.min(prefixes.size(), 50)), draining, 5);
+        assertThat(PeerCodec.decode(PeerCodec.encode(load)), equalTo(load));
+        PeerMessage.Hello hello = new PeerMessage.Hello(
+                "a1", new EngineInfo("e1", "p", "127.0.0.1", 80, 8, 1_000, 50, draining), running);
+        assertThat(PeerCodec.decode(PeerCodec.encode(hello)), equalTo(hello));
+    }
+
+    @Property(tries = 500, seed = "10")
+    void kvCallsSurviveTheRoundTrip(@ForAll long callId, @ForAll String key, @ForAll long version) {
+        KvMessage.Watch watch = new KvMessage.Watch(callId, key, version);
+        assertThat(KvCodec.decode(KvCodec.encode(watch)), equalTo(watch));
+        KvMessage.Delete delete = new KvMessage.Delete(callId, key, version);
+        assertThat(KvCodec.decode(KvCodec.encode(delete)), equalTo(delete));
+    }
+}
