--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
@@ -3,23 +3,29 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 import org.onyxhinge.core.model.RequestSpec;
 
 /**
  * The scheduler's view of one engine: its own in-flight requests, what the last stale report said
- * about other routers' load, and the prefixes it probably caches. Owned by the scheduler's thread.
+ * about other routers' load, how much slower than announced it has lately been, and the prefixes it
+ * probably caches. Owned by the scheduler's thread.
  */
 final class EngineSlot {
 
     private static final long MS_PER_SECOND = 1_000;
+    private static final double SLOWNESS_WEIGHT = 0.3;
+    private static final double MAX_SLOWNESS = 16.0;
 
     private final EngineInfo info;
     private final Map<String, Running> running = new LinkedHashMap<>();
     private final PrefixMemory prefixes;
     private int othersInFlight;
     private boolean draining;
+    private boolean unreachable;
     private long lastHeardAtMs;
+    private double slowness = 1.0;
 
     EngineSlot(EngineInfo info, int prefixCapacity, long nowMs) {
         this.info = info;
@@ -36,11 +42,20 @@
     }
 
     boolean usable(long nowMs, long silentMs) {
-        return !draining && nowMs - lastHeardAtMs <= silentMs;
+        return !draining && !unreachable && !silentFor(silentMs, nowMs);
+    }
+
+    boolean silentFor(long silentMs, long nowMs) {
+        return nowMs - lastHeardAtMs > silentMs;
     }
 
     boolean hasFreeSlot() {
-        return running.size() + othersInFlight < info.maxBatch();
+        return inFlight() < info.maxBatch();
+    }
+
+    /** Requests in progress there, this router's and, as last reported, the others'. */
+    int inFlight() {
+        return running.size() + othersInFlight;
     }
 
     Collection<Running> running() {
@@ -63,6 +78,10 @@
         return lastHeardAtMs;
     }
 
+    double slowness() {
+        return slowness;
+    }
+
     void add(Running r) {
         running.put(r.spec().requestId(), r);
         prefixes.remember(r.spec().prefixHash());
@@ -72,13 +91,25 @@
         return running.remove(requestId);
     }
 
-    void markFirstToken(String requestId) {
-        running.computeIfPresent(requestId, (id, r) -> r.withFirstToken());
+    /**
+     * Notes a first token and learns from it how much slower than announced the engine is: engines
+     * slow down without saying so, and their reports are late.
+     */
+    void markFirstToken(String requestId, long nowMs) {
+        Running r = running.get(requestId);
+        if (r == null || r.firstTokenSeen()) {
+            return;
+        }
+        running.put(requestId, r.withFirstToken());
+        double ratio = (nowMs - r.dispatchedAtMs()) / (double) Math.max(1, r.nominalFirstTokenMs());
+        double bounded = Math.min(MAX_SLOWNESS, Math.max(1.0, ratio));
+        slowness += SLOWNESS_WEIGHT * (bounded - slowness);
     }
 
     void heard(LoadReport report, long nowMs) {
         lastHeardAtMs = nowMs;
         draining = report.draining();
+        unreachable = false;
         othersInFlight = Math.max(0, report.running() + report.waiting() - running.size());
         report.cachedPrefixes().forEach(prefixes::remember);
     }
@@ -87,31 +118,52 @@
         draining = true;
     }
 
+    /** Takes the engine out of routing until its agent is heard again. */
+    void markUnreachable() {
+        unreachable = true;
+    }
+
     /**
      * Estimates the time from now to this request's first token here: the prompt tokens still to be
      * prefilled ahead of it plus its own uncached ones, at the engine's prefill rate, plus one decode
-     * step.
+     * step, all times the slowness lately seen.
      */
     long firstTokenEstimateMs(RequestSpec spec) {
-        return firstTokenEstimateMs(spec, java.util.Set.of());
+        return firstTokenEstimateMs(spec, Set.of());
     }
 
     /** The same estimate as if the requests in {@code without} were no longer here. */
-    long firstTokenEstimateMs(RequestSpec spec, java.util.Set<String> without) {
+    long firstTokenEstimateMs(RequestSpec spec, Set<String> without) {
+        return (long) (nominalFirstTokenMs(spec, without) * slowness);
+    }
+
+    /** The estimate at the announced speed. */
+    long nominalFirstTokenMs(RequestSpec spec, Set<String> without) {
         long ahead = 0;
         for (Running r : running.values()) {
             if (!r.firstTokenSeen() && !without.contains(r.spec().requestId())) {
                 ahead += uncachedTokens(r.spec());
             }
         }
-        long prefill = (ahead + uncachedTokens(spec)) * MS_PER_SECOND / info.prefillTokensPerSecond();
-        return prefill + MS_PER_SECOND / info.decodeTokensPerSecond();
+        return prefillMs(ahead + uncachedTokens(spec)) + decodeStepMs();
     }
 
-    /** The estimate on this engine with nothing else waiting for prefill. */
+    /** The estimate on this engine with nothing else waiting for prefill, at the announced speed. */
     long idleEstimateMs(RequestSpec spec) {
-        return uncachedTokens(spec) * MS_PER_SECOND / info.prefillTokensPerSecond()
-                + MS_PER_SECOND / info.decodeTokensPerSecond();
+        return prefillMs(uncachedTokens(spec)) + decodeStepMs();
+    }
+
+    /** Prompt tokens of {@code r} the engine has worked on for nothing if it is stopped now. */
+    long sunkPrefillTokens(Running r) {
+        return r.firstTokenSeen() ? r.spec().promptTokens() : 0;
+    }
+
+    private long prefillMs(long tokens) {
+        return tokens * MS_PER_SECOND / info.prefillTokensPerSecond();
+    }
+
+    private long decodeStepMs() {
+        return MS_PER_SECOND / info.decodeTokensPerSecond();
     }
 
     private long uncachedTokens(RequestSpec spec) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
@@ -38,7 +38,9 @@
     /** A running request was stopped to make room for a higher tier; it was partly run. */
     PREEMPTED(503, false),
     /** The target failed or vanished while the request was running; it may have been partly run. */
-    TARGET_FAILED(502, false);
+    TARGET_FAILED(502, false),
+    /** The request was still running at its tier's deadline and was stopped; it was partly run. */
+    DEADLINE_EXCEEDED(504, false);
 
     private final int httpStatus;
     private final boolean notRun;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Running.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Running.java
@@ -3,17 +3,19 @@
 import org.onyxhinge.core.model.RequestSpec;
 
 /**
- * A request this router has dispatched and not yet seen finish.
+ * A request this router has handed to an engine and not yet seen finish.
  *
  * @param spec the request
  * @param engineId where it runs
- * @param dispatchedAtMs when it was dispatched
+ * @param dispatchedAtMs when it was handed over
+ * @param nominalFirstTokenMs time to its first token as estimated then, at the engine's announced speed
  * @param firstTokenSeen true once its first token came back
  */
-record Running(RequestSpec spec, String engineId, long dispatchedAtMs, boolean firstTokenSeen) {
+record Running(
+        RequestSpec spec, String engineId, long dispatchedAtMs, long nominalFirstTokenMs, boolean firstTokenSeen) {
 
     Running withFirstToken() {
-        return new Running(spec, engineId, dispatchedAtMs, true);
+        return new Running(spec, engineId, dispatchedAtMs, nominalFirstTokenMs, true);
     }
 
     int rank() {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -1,12 +1,8 @@
 package org.onyxhinge.core.schedule;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,9 +18,12 @@
  *
  * <p>Rules, in order: a workspace over its limit is refused; a request goes to the free engine with
  * the earliest estimated first token; when every engine is full it waits if its tier's budget allows;
- * otherwise a running request of a lower tier is stopped to make room; otherwise it is refused at once
+ * otherwise running requests of a lower tier are stopped to make room; otherwise it is refused at once
  * with a time to come back. Queued requests that can no longer make their budget are refused as soon
- * as that is known, never held back.
+ * as that is known, never held back. Running requests past their tier's deadline are stopped.
+ *
+ * <p>A request is handed to an engine at most once, except that an adapter which could not send a
+ * single byte of it says so with {@link #unsent}, and it is offered to another engine.
  *
  * <p>Not thread-safe: one thread owns it. Every method takes the time, in milliseconds of a monotonic
  * clock, and returns the actions to carry out.
@@ -34,22 +33,17 @@
     private static final long NO_TARGET_RETRY_MS = 5_000;
     private static final double SERVICE_EWMA_WEIGHT = 0.1;
     private static final double INITIAL_SERVICE_MS = 2_000;
-    private static final int DISPATCH_MEMORY = 100_000;
+    private static final int FORGET_AFTER_SILENCES = 20;
 
     private final SchedulerSettings settings;
-    private final Map<String, EngineSlot> engines = new HashMap<>();
+    private final EngineTable engines = new EngineTable();
+    private final TierQueues queues = new TierQueues();
     private final Map<String, String> engineOfRequest = new HashMap<>();
-    private final Map<String, TreeMap<Integer, ArrayDeque<RequestSpec>>> queues = new HashMap<>();
+    private final Map<String, Integer> offersByRequest = new HashMap<>();
     private final Map<String, Integer> inFlightByWorkspace = new HashMap<>();
     private final Map<String, Double> serviceMsByPool = new HashMap<>();
-    private final Set<String> everDispatched = Collections.newSetFromMap(new java.util.LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > DISPATCH_MEMORY;
-        }
-    });
+    private final DispatchHistory dispatched = new DispatchHistory();
+    private long turn;
 
     private Scheduler(SchedulerSettings settings) {
         this.settings = settings;
@@ -68,7 +62,7 @@
             if (old != null) {
                 old.running().forEach(slot::add);
             }
-            engines.put(info.engineId(), slot);
+            engines.put(slot);
         }
         return drainQueue(info.pool(), nowMs);
     }
@@ -91,36 +85,38 @@
         }
     }
 
-    /** Removes an engine whose agent is gone; its running requests are told it failed. */
-    public List<Action> engineLost(String engineId, long nowMs) {
-        EngineSlot slot = engines.remove(engineId);
-        if (slot == null) {
-            return List.of();
-        }
-        List<Action> out = new ArrayList<>();
-        for (Running r : List.copyOf(slot.running())) {
-            forget(r.spec());
-            engineOfRequest.remove(r.spec().requestId());
-            out.add(new Action.Cancel(
-                    r.spec().requestId(),
-                    engineId,
-                    Refusal.of(RefusalReason.TARGET_FAILED, "the target left while serving", 0)));
-        }
-        out.addAll(drainQueue(slot.info().pool(), nowMs));
-        return out;
-    }
-
     /** Admits, queues, or refuses a new request. */
     public List<Action> submit(RequestSpec spec, int workspaceLimit, long nowMs) {
         if (inFlightByWorkspace.getOrDefault(spec.workspace(), 0) >= workspaceLimit) {
-            return List.of(refuse(spec, RefusalReason.WORKSPACE_LIMIT, "workspace at its limit", retryAfter(spec)));
+            return List.of(refuse(spec, RefusalReason.WORKSPACE_LIMIT, "workspace at its limit", retryAfterMs(spec)));
         }
-        List<EngineSlot> live = liveEngines(spec.pool(), nowMs);
+        return place(spec, nowMs);
+    }
+
+    private List<Action> place(RequestSpec spec, long nowMs) {
+        List<EngineSlot> live = engines.usable(spec.pool(), nowMs, settings.engineSilentMs());
         if (live.isEmpty()) {
             return List.of(refuse(spec, RefusalReason.NO_TARGET, "no live target serves the pool", NO_TARGET_RETRY_MS));
         }
+        return switch (settings.policy()) {
+            case RoutingPolicy.EarliestFirstToken p -> admit(spec, live, nowMs);
+            case RoutingPolicy.LeastOutstanding p -> passThrough(spec, leastOutstanding(live), nowMs);
+            case RoutingPolicy.RoundRobin p -> passThrough(spec, live.get((int) (turn++ % live.size())), nowMs);
+        };
+    }
+
+    private static EngineSlot leastOutstanding(List<EngineSlot> live) {
+        return live.stream().min(Comparator.comparingInt(EngineSlot::inFlight)).orElseThrow();
+    }
+
+    private List<Action> passThrough(RequestSpec spec, EngineSlot slot, long nowMs) {
+        count(spec);
+        return List.of(dispatch(spec, slot, nowMs));
+    }
+
+    private List<Action> admit(RequestSpec spec, List<EngineSlot> live, long nowMs) {
         long idleMs = live.stream().mapToLong(s -> s.idleEstimateMs(spec)).min().orElseThrow();
-        if (nowMs + idleMs > spec.firstTokenDueAtMs()) {
+        if (idleMs > spec.tier().firstTokenBudgetMs()) {
             return List.of(
                     refuse(spec, RefusalReason.BUDGET_TOO_SMALL, "too large for the tier's first-token budget", 0));
         }
@@ -133,17 +129,44 @@
     }
 
     /** Notes that the request's first token has come back. */
-    public void firstToken(String requestId) {
-        String engineId = engineOfRequest.get(requestId);
-        if (engineId != null && engines.containsKey(engineId)) {
-            engines.get(engineId).markFirstToken(requestId);
+    public void firstToken(String requestId, long nowMs) {
+        EngineSlot slot = slotOf(requestId);
+        if (slot != null) {
+            slot.markFirstToken(requestId, nowMs);
+        }
+    }
+
+    /**
+     * Takes back a request of which no byte could be sent to its engine. The engine gets no new work
+     * until its agent is heard again; the request is offered to another, or refused as not run.
+     */
+    public List<Action> unsent(String requestId, long nowMs) {
+        EngineSlot slot = slotOf(requestId);
+        Running r = slot == null ? null : slot.remove(requestId);
+        if (r == null) {
+            return List.of();
         }
+        slot.markUnreachable();
+        engineOfRequest.remove(requestId);
+        forget(r.spec());
+        dispatched.takeBack(requestId);
+        int offers = offersByRequest.merge(requestId, 1, Integer::sum);
+        if (offers < settings.sendAttempts()) {
+            return place(r.spec(), nowMs);
+        }
+        return List.of(refuse(r.spec(), RefusalReason.TARGET_UNREACHABLE, "no target could be reached; not run", 0));
     }
 
-    /** Releases a request that ended for any reason, and fills the freed slot. */
-    public List<Action> finished(String requestId, long nowMs) {
-        String engineId = engineOfRequest.remove(requestId);
-        EngineSlot slot = engineId == null ? null : engines.get(engineId);
+    /** Releases a request that ended for any reason, wherever it was, and fills a freed slot. */
+    public List<Action> ended(String requestId, long nowMs) {
+        offersByRequest.remove(requestId);
+        RequestSpec queued = queues.remove(requestId);
+        if (queued != null) {
+            forget(queued);
+            return List.of();
+        }
+        EngineSlot slot = slotOf(requestId);
+        engineOfRequest.remove(requestId);
         Running r = slot == null ? null : slot.remove(requestId);
         if (r == null) {
             return List.of();
@@ -153,43 +176,58 @@
         return drainQueue(slot.info().pool(), nowMs);
     }
 
-    /** Drops a queued request whose caller went away; returns true when it was queued. */
-    public boolean abandon(String requestId) {
-        for (TreeMap<Integer, ArrayDeque<RequestSpec>> byRank : queues.values()) {
-            for (ArrayDeque<RequestSpec> q : byRank.values()) {
-                Optional<RequestSpec> hit =
-                        q.stream().filter(s -> s.requestId().equals(requestId)).findFirst();
-                if (hit.isPresent()) {
-                    q.remove(hit.get());
-                    forget(hit.get());
-                    return true;
+    /**
+     * Stops running requests past their deadline, refuses queued ones that can no longer make their
+     * budget, fills free slots, and forgets engines long gone.
+     */
+    public List<Action> tick(long nowMs) {
+        List<Action> out = new ArrayList<>();
+        stopOverdue(out, nowMs);
+        for (String pool : queues.pools()) {
+            if (!queues.isEmpty(pool)) {
+                out.addAll(expireQueued(pool, nowMs));
+                out.addAll(drainQueue(pool, nowMs));
+            }
+        }
+        forgetGoneEngines(nowMs);
+        return out;
+    }
+
+    private void stopOverdue(List<Action> out, long nowMs) {
+        for (EngineSlot slot : engines.all()) {
+            for (Running r : List.copyOf(slot.running())) {
+                if (nowMs > r.spec().dueAtMs()) {
+                    out.add(stop(slot, r, RefusalReason.DEADLINE_EXCEEDED, "stopped at the tier's deadline", 0));
                 }
             }
         }
-        return false;
     }
 
-    /** Refuses queued requests that can no longer make their budget, and fills free slots. */
-    public List<Action> tick(long nowMs) {
-        List<Action> out = new ArrayList<>();
-        for (String pool : List.copyOf(queues.keySet())) {
-            out.addAll(expireQueued(pool, nowMs));
-            out.addAll(drainQueue(pool, nowMs));
+    private void forgetGoneEngines(long nowMs) {
+        long goneMs = settings.engineSilentMs() * FORGET_AFTER_SILENCES;
+        for (EngineSlot slot : List.copyOf(engines.all())) {
+            if (slot.ownInFlight() == 0 && slot.silentFor(goneMs, nowMs)) {
+                engines.remove(slot.id());
+            }
         }
-        return out;
     }
 
     /** A copy of the state, for the state dump. */
     public SchedulerSnapshot snapshot() {
         List<SchedulerSnapshot.Engine> es = new ArrayList<>();
-        for (EngineSlot s : engines.values()) {
+        for (EngineSlot s : engines.all()) {
             es.add(new SchedulerSnapshot.Engine(
-                    s.id(), s.info().pool(), s.ownInFlight(), s.othersInFlight(), s.draining(), s.lastHeardAtMs()));
+                    s.id(),
+                    s.info().pool(),
+                    s.ownInFlight(),
+                    s.othersInFlight(),
+                    s.draining(),
+                    s.slowness(),
+                    s.lastHeardAtMs()));
         }
         es.sort(Comparator.comparing(SchedulerSnapshot.Engine::engineId));
         Map<String, Integer> queued = new TreeMap<>();
-        queues.forEach((pool, byRank) -> queued.put(
-                pool, byRank.values().stream().mapToInt(ArrayDeque::size).sum()));
+        queues.forEachPool(e -> queued.put(e.getKey(), e.getValue()));
         return new SchedulerSnapshot(es, queued, new TreeMap<>(inFlightByWorkspace));
     }
 
@@ -200,10 +238,9 @@
                         .mapToLong(s -> s.firstTokenEstimateMs(spec))
                         .min()
                         .orElse(0);
-        ArrayDeque<RequestSpec> q = queue(spec.pool(), spec.tier().rank());
-        boolean roomInQueue = q.size() < settings.queueLimitPerTier();
+        boolean roomInQueue = queues.size(spec.pool(), spec.tier().rank()) < settings.queueLimitPerTier();
         if (nowMs + etaMs <= spec.firstTokenDueAtMs() && roomInQueue) {
-            q.addLast(spec);
+            queues.add(spec);
             count(spec);
             return List.of();
         }
@@ -214,95 +251,71 @@
     /** Stops lower-tier work to make room for {@code spec}, or refuses it when that would not help. */
     private List<Action> preemptOrRefuse(
             RequestSpec spec, List<EngineSlot> live, long nowMs, RefusalReason reason, long retryAfterMs) {
-        Optional<Room> room = roomByPreempting(live, spec, nowMs);
+        Optional<Preemption.Room> room = Preemption.cheapestRoom(live, spec, nowMs);
         if (room.isPresent()) {
             return preempt(room.get(), spec, nowMs);
         }
-        assertLowerTierCannotHelp(spec, live, nowMs);
+        Invariants.check(
+                !Invariants.enabled() || !Preemption.lowerTierCouldHelp(live, spec, nowMs),
+                "no higher tier shed while a lower tier is served",
+                spec.requestId());
         return List.of(refuse(spec, reason, "every target is busy past the tier's budget", retryAfterMs));
     }
 
-    /** Lower-tier requests on one engine whose removal lets a higher tier start in time. */
-    private record Room(EngineSlot slot, List<Running> victims) {}
-
-    private List<Action> preempt(Room room, RequestSpec spec, long nowMs) {
+    private List<Action> preempt(Preemption.Room room, RequestSpec spec, long nowMs) {
         List<Action> out = new ArrayList<>();
         for (Running victim : room.victims()) {
-            room.slot().remove(victim.spec().requestId());
-            engineOfRequest.remove(victim.spec().requestId());
-            forget(victim.spec());
-            out.add(new Action.Cancel(
-                    victim.spec().requestId(),
-                    victim.engineId(),
-                    Refusal.of(RefusalReason.PREEMPTED, "stopped to serve a higher tier", retryAfter(victim.spec()))));
+            out.add(stop(
+                    room.slot(),
+                    victim,
+                    RefusalReason.PREEMPTED,
+                    "stopped to serve a higher tier",
+                    retryAfterMs(victim.spec())));
         }
         count(spec);
         out.add(dispatch(spec, room.slot(), nowMs));
         return out;
     }
 
-    /**
-     * Finds the engine where stopping the fewest lower-tier requests (lowest tier and newest first)
-     * frees a slot and lets {@code spec} start in time.
-     */
-    private Optional<Room> roomByPreempting(List<EngineSlot> live, RequestSpec spec, long nowMs) {
-        Room best = null;
-        for (EngineSlot slot : live) {
-            List<Running> lower = slot.running().stream()
-                    .filter(r -> r.rank() > spec.tier().rank())
-                    .sorted(Comparator.comparingInt(Running::rank)
-                            .thenComparingLong(Running::dispatchedAtMs)
-                            .reversed())
-                    .toList();
-            Set<String> without = new HashSet<>();
-            for (int i = 0; i < lower.size(); i++) {
-                without.add(lower.get(i).spec().requestId());
-                boolean slotFree = slot.running().size() - without.size() + slot.othersInFlight()
-                        < slot.info().maxBatch();
-                if (slotFree && nowMs + slot.firstTokenEstimateMs(spec, without) <= spec.firstTokenDueAtMs()) {
-                    if (best == null || i + 1 < best.victims().size()) {
-                        best = new Room(slot, lower.subList(0, i + 1));
-                    }
-                    break;
-                }
-            }
-        }
-        return Optional.ofNullable(best);
+    private Action stop(EngineSlot slot, Running r, RefusalReason reason, String detail, long retryAfterMs) {
+        String requestId = r.spec().requestId();
+        slot.remove(requestId);
+        engineOfRequest.remove(requestId);
+        offersByRequest.remove(requestId);
+        forget(r.spec());
+        return new Action.Cancel(requestId, r.engineId(), Refusal.of(reason, detail, retryAfterMs));
     }
 
     private Action dispatch(RequestSpec spec, EngineSlot slot, long nowMs) {
-        Invariants.check(everDispatched.add(spec.requestId()), "dispatched at most once", spec.requestId());
-        slot.add(new Running(spec, slot.id(), nowMs, false));
+        dispatched.record(spec.requestId());
+        slot.add(new Running(spec, slot.id(), nowMs, slot.nominalFirstTokenMs(spec, Set.of()), false));
         engineOfRequest.put(spec.requestId(), slot.id());
         return new Action.Dispatch(spec, slot.id());
     }
 
     private Action refuse(RequestSpec spec, RefusalReason reason, String detail, long retryAfterMs) {
+        offersByRequest.remove(spec.requestId());
         return new Action.Refuse(spec, Refusal.of(reason, detail, Math.max(settings.minRetryAfterMs(), retryAfterMs)));
     }
 
     private List<Action> drainQueue(String pool, long nowMs) {
-        TreeMap<Integer, ArrayDeque<RequestSpec>> byRank = queues.get(pool);
-        if (byRank == null) {
+        if (queues.isEmpty(pool)) {
             return List.of();
         }
         List<Action> out = new ArrayList<>();
-        List<EngineSlot> live = liveEngines(pool, nowMs);
-        for (ArrayDeque<RequestSpec> q : byRank.values()) {
-            while (!q.isEmpty()) {
-                Optional<EngineSlot> free = fastestFree(live, q.peekFirst());
-                if (free.isEmpty()) {
-                    return out;
-                }
-                RequestSpec head = q.pollFirst();
-                forget(head);
-                if (nowMs + free.get().firstTokenEstimateMs(head) <= head.firstTokenDueAtMs()) {
-                    count(head);
-                    out.add(dispatch(head, free.get(), nowMs));
-                } else {
-                    out.addAll(
-                            preemptOrRefuse(head, live, nowMs, RefusalReason.DEADLINE_UNREACHABLE, retryAfter(head)));
-                }
+        List<EngineSlot> live = engines.usable(pool, nowMs, settings.engineSilentMs());
+        for (RequestSpec head : queues.inOrder(pool)) {
+            Optional<EngineSlot> free = fastestFree(live, head);
+            if (free.isEmpty()) {
+                return out;
+            }
+            queues.remove(head.requestId());
+            forget(head);
+            if (nowMs + free.get().firstTokenEstimateMs(head) <= head.firstTokenDueAtMs()) {
+                count(head);
+                out.add(dispatch(head, free.get(), nowMs));
+            } else {
+                out.addAll(preemptOrRefuse(head, live, nowMs, RefusalReason.DEADLINE_UNREACHABLE, retryAfterMs(head)));
             }
         }
         return out;
@@ -310,86 +323,53 @@
 
     private List<Action> expireQueued(String pool, long nowMs) {
         List<Action> out = new ArrayList<>();
-        List<EngineSlot> live = liveEngines(pool, nowMs);
-        for (ArrayDeque<RequestSpec> q : queues.get(pool).values()) {
-            for (Iterator<RequestSpec> it = q.iterator(); it.hasNext(); ) {
-                RequestSpec spec = it.next();
-                long bestMs = live.stream()
-                        .mapToLong(s -> s.firstTokenEstimateMs(spec))
-                        .min()
-                        .orElse(Long.MAX_VALUE / 2);
-                if (nowMs + bestMs > spec.firstTokenDueAtMs()) {
-                    it.remove();
-                    forget(spec);
-                    out.addAll(
-                            preemptOrRefuse(spec, live, nowMs, RefusalReason.DEADLINE_UNREACHABLE, retryAfter(spec)));
-                }
+        List<EngineSlot> live = engines.usable(pool, nowMs, settings.engineSilentMs());
+        for (RequestSpec spec : queues.inOrder(pool)) {
+            long bestMs = live.stream()
+                    .mapToLong(s -> s.firstTokenEstimateMs(spec))
+                    .min()
+                    .orElse(Long.MAX_VALUE / 2);
+            if (nowMs + bestMs > spec.firstTokenDueAtMs()) {
+                queues.remove(spec.requestId());
+                forget(spec);
+                out.addAll(preemptOrRefuse(spec, live, nowMs, RefusalReason.DEADLINE_UNREACHABLE, retryAfterMs(spec)));
             }
         }
         return out;
     }
 
     private long queueWaitMs(RequestSpec spec, List<EngineSlot> live) {
-        int ahead = 0;
-        for (Map.Entry<Integer, ArrayDeque<RequestSpec>> e :
-                queues.getOrDefault(spec.pool(), new TreeMap<>()).entrySet()) {
-            if (e.getKey() <= spec.tier().rank()) {
-                ahead += e.getValue().size();
-            }
-        }
+        int ahead = queues.sizeUpTo(spec.pool(), spec.tier().rank());
         int slots = live.stream().mapToInt(s -> s.info().maxBatch()).sum();
-        double serviceMs = serviceMsByPool.getOrDefault(spec.pool(), INITIAL_SERVICE_MS);
-        return (long) ((ahead + 1) * serviceMs / Math.max(1, slots));
+        return (long) ((ahead + 1) * serviceMs(spec.pool()) / Math.max(1, slots));
     }
 
-    /**
-     * The brief's shedding rule, checked where a request is refused for capacity: stopping every
-     * lower-tier request on any one engine would still not let it start in time.
-     */
-    private void assertLowerTierCannotHelp(RequestSpec spec, List<EngineSlot> live, long nowMs) {
-        if (!Invariants.enabled()) {
-            return;
-        }
-        for (EngineSlot slot : live) {
-            Set<String> lower = new HashSet<>();
-            for (Running r : slot.running()) {
-                if (r.rank() > spec.tier().rank()) {
-                    lower.add(r.spec().requestId());
+    private static Optional<EngineSlot> fastestFree(List<EngineSlot> live, RequestSpec spec) {
+        EngineSlot best = null;
+        long bestMs = Long.MAX_VALUE;
+        for (EngineSlot s : live) {
+            if (s.hasFreeSlot()) {
+                long estimateMs = s.firstTokenEstimateMs(spec);
+                if (estimateMs < bestMs) {
+                    best = s;
+                    bestMs = estimateMs;
                 }
             }
-            boolean slotFree = slot.running().size() - lower.size() + slot.othersInFlight()
-                    < slot.info().maxBatch();
-            boolean wouldFit = slotFree && nowMs + slot.firstTokenEstimateMs(spec, lower) <= spec.firstTokenDueAtMs();
-            Invariants.check(
-                    !wouldFit || lower.isEmpty(), "no higher tier shed while a lower tier is served", spec.requestId());
         }
+        return Optional.ofNullable(best);
     }
 
-    private Optional<EngineSlot> fastestFree(List<EngineSlot> live, RequestSpec spec) {
-        return live.stream()
-                .filter(EngineSlot::hasFreeSlot)
-                .min(Comparator.comparingLong((EngineSlot s) -> s.firstTokenEstimateMs(spec))
-                        .thenComparing(EngineSlot::id));
-    }
-
-    private List<EngineSlot> liveEngines(String pool, long nowMs) {
-        List<EngineSlot> out = new ArrayList<>();
-        for (EngineSlot s : engines.values()) {
-            if (s.info().pool().equals(pool) && s.usable(nowMs, settings.engineSilentMs())) {
-                out.add(s);
-            }
-        }
-        out.sort(Comparator.comparing(EngineSlot::id));
-        return out;
+    private EngineSlot slotOf(String requestId) {
+        String engineId = engineOfRequest.get(requestId);
+        return engineId == null ? null : engines.get(engineId);
     }
 
-    private ArrayDeque<RequestSpec> queue(String pool, int rank) {
-        return queues.computeIfAbsent(pool, p -> new TreeMap<>()).computeIfAbsent(rank, r -> new ArrayDeque<>());
+    private long retryAfterMs(RequestSpec spec) {
+        return (long) serviceMs(spec.pool());
     }
 
-    private long retryAfter(RequestSpec spec) {
-        return (long)
-                serviceMsByPool.getOrDefault(spec.pool(), INITIAL_SERVICE_MS).doubleValue();
+    private double serviceMs(String pool) {
+        return serviceMsByPool.getOrDefault(pool, INITIAL_SERVICE_MS);
     }
 
     private void count(RequestSpec spec) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSnapshot.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSnapshot.java
@@ -21,8 +21,15 @@
      * @param ownInFlight requests this router runs there
      * @param othersInFlight requests other routers run there, from the last report
      * @param draining true once it is leaving
+     * @param slowness how many times slower than announced it has lately been, 1 or more
      * @param lastHeardAtMs when its agent was last heard
      */
     public record Engine(
-            String engineId, String pool, int ownInFlight, int othersInFlight, boolean draining, long lastHeardAtMs) {}
+            String engineId,
+            String pool,
+            int ownInFlight,
+            int othersInFlight,
+            boolean draining,
+            double slowness,
+            long lastHeardAtMs) {}
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
@@ -16,6 +16,7 @@
 import org.onyxhinge.core.model.Tier;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anEmptyMap;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
@@ -44,21 +45,29 @@
         run.finishEverything();
         assertThat(run.open(), is(empty()));
         assertThat(run.ended.size(), equalTo(run.submitted));
+        assertThat("slots and counts released", run.scheduler.snapshot().inFlightByWorkspace(), anEmptyMap());
+        run.scheduler
+                .snapshot()
+                .engines()
+                .forEach(e -> assertThat("slot leaked on " + e.engineId(), e.ownInFlight(), equalTo(0)));
     }
 
     /** One randomised session against a scheduler, checking each action as it comes. */
     private static final class Run {
         private final Random random;
-        private final Scheduler scheduler = Scheduler.create(new SchedulerSettings(8, 3_000, 500, 64));
+        private final Scheduler scheduler =
+                Scheduler.create(new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 8, 3_000, 500, 64, 3));
         private final Set<String> dispatched = new HashSet<>();
         private final Map<String, RequestSpec> running = new HashMap<>();
         private final Map<String, String> ended = new HashMap<>();
         private final Map<String, RequestSpec> all = new HashMap<>();
         private long nowMs = 1_000;
+        private final int engines;
         private int submitted;
 
         private Run(long seed, int engines) {
             this.random = new Random(seed);
+            this.engines = engines;
             for (int i = 0; i < engines; i++) {
                 EngineInfo info = new EngineInfo(
                         "e" + i,
@@ -80,7 +89,9 @@
                 if (pick < 5) {
                     submit();
                 } else if (pick < 8 && !running.isEmpty()) {
-                    finishOne();
+                    progressOne();
+                } else if (pick == 8 && !open().isEmpty()) {
+                    abandonOne();
                 } else {
                     apply(scheduler.tick(nowMs));
                 }
@@ -107,12 +118,43 @@
             apply(scheduler.submit(spec, 20, nowMs));
         }
 
+        private void progressOne() {
+            String id = pick(running.keySet());
+            switch (random.nextInt(4)) {
+                case 0 -> scheduler.firstToken(id, nowMs);
+                case 1 -> unsent(id);
+                default -> finishOne();
+            }
+        }
+
+        /** The target could not be reached: the request may be dispatched once more. */
+        private void unsent(String id) {
+            running.remove(id);
+            dispatched.remove(id);
+            apply(scheduler.unsent(id, nowMs));
+            for (int i = 0; i < engines; i++) {
+                apply(scheduler.engineReported(new LoadReport("e" + i, 0, 0, List.of(), false), nowMs));
+            }
+        }
+
+        private void abandonOne() {
+            String id = pick(open());
+            running.remove(id);
+            end(id, "abandoned");
+            apply(scheduler.ended(id, nowMs));
+        }
+
+        private String pick(Set<String> ids) {
+            List<String> sorted = new ArrayList<>(ids);
+            sorted.sort(null);
+            return sorted.get(random.nextInt(sorted.size()));
+        }
+
         private void finishOne() {
-            List<String> ids = new ArrayList<>(running.keySet());
-            String id = ids.get(random.nextInt(ids.size()));
+            String id = pick(running.keySet());
             running.remove(id);
             end(id, "completed");
-            apply(scheduler.finished(id, nowMs));
+            apply(scheduler.ended(id, nowMs));
         }
 
         private void finishEverything() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterMetrics.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterMetrics.java
@@ -21,6 +21,7 @@
     private final Map<String, Latency> firstTokenByTier = new ConcurrentHashMap<>();
     private final Map<String, Latency> gapByTier = new ConcurrentHashMap<>();
     private final Latency dispatchDelay = Latency.create();
+    private final Latency addedLatency = Latency.create();
 
     /** The Dropwizard registry behind these measures. */
     public MetricRegistry registry() {
@@ -60,11 +61,16 @@
         gapByTier.computeIfAbsent(tier, t -> Latency.create()).recordUs(us);
     }
 
-    /** Time the router added before the engine had the request: parse, decide, connect, send. */
+    /** Time from arrival to the request being sent to its engine, waiting in the router's queue included. */
     public void dispatchDelay(long us) {
         dispatchDelay.recordUs(us);
     }
 
+    /** Time the router itself added: check, claim, decide, connect; waiting in its queue not included. */
+    public void addedLatency(long us) {
+        addedLatency.recordUs(us);
+    }
+
     /** Everything as JSON, for the state dump and the load tool. */
     public JsonObject toJson() {
         JsonObject out = StatusEndpoints.toJson(registry);
@@ -72,6 +78,9 @@
         new TreeMap<>(firstTokenByTier).forEach((t, l) -> first.put(t, l.summary()));
         JsonObject gaps = new JsonObject();
         new TreeMap<>(gapByTier).forEach((t, l) -> gaps.put(t, l.summary()));
-        return out.put("firstTokenByTier", first).put("gapByTier", gaps).put("dispatchDelay", dispatchDelay.summary());
+        return out.put("firstTokenByTier", first)
+                .put("gapByTier", gaps)
+                .put("dispatchDelay", dispatchDelay.summary())
+                .put("addedLatency", addedLatency.summary());
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -22,6 +22,7 @@
 import org.onyxhinge.core.model.Workspace;
 import org.onyxhinge.core.schedule.Action;
 import org.onyxhinge.core.schedule.EngineInfo;
+import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
 import org.onyxhinge.core.schedule.Scheduler;
 import org.onyxhinge.router.admin.AdminService;
@@ -50,6 +51,7 @@
     private static final long TICK_MS = 20;
     private static final long CONFIG_RETRY_MS = 200;
     private static final long DRAIN_POLL_MS = 50;
+    private static final long STORE_RETRY_MS = 1_000;
     private static final int NS_PER_MS = 1_000_000;
 
     private final RouterSettings settings;
@@ -118,7 +120,7 @@
     private Future<RouterNode> startOnControl() {
         kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
         config = ConfigStore.create(kv, c -> LOG.debugf("config revision=%d", c.revision()));
-        once = OnceRegistry.create(kv);
+        once = OnceRegistry.create(vertx, kv, settings.onceWindowMs());
         return loadConfig()
                 .compose(c -> PeerServer.start(vertx, settings.host(), settings.peerPort(), this))
                 .compose(p -> {
@@ -179,12 +181,7 @@
                 schedule(f);
                 return;
             }
-            once.claim(f.spec())
-                    .onSuccess(claim -> {
-                        claims.put(f.spec().requestId(), claim);
-                        schedule(f);
-                    })
-                    .onFailure(e -> refuseUnscheduled(f, e));
+            once.claim(f.spec()).onSuccess(claim -> claimed(f, claim)).onFailure(e -> refuseUnscheduled(f, e));
         });
     }
 
@@ -192,38 +189,59 @@
         int limit = config().workspace(f.spec().workspace())
                 .map(Workspace::maxInFlight)
                 .orElse(0);
-        execute(scheduler.submit(f.spec(), limit, nowMs()));
+        List<Action> actions = scheduler.submit(f.spec(), limit, nowMs());
+        f.decided(System.nanoTime());
+        execute(actions);
+    }
+
+    /** The claim is in the store; schedules the request unless its caller left meanwhile. */
+    private void claimed(Flight f, OnceRegistry.Claim claim) {
+        if (flights.containsKey(f.spec().requestId())) {
+            claims.put(f.spec().requestId(), claim);
+            schedule(f);
+        } else {
+            once.release(claim);
+        }
     }
 
     private void refuseUnscheduled(Flight f, Throwable e) {
         flights.remove(f.spec().requestId());
-        var refusal = e instanceof RefusedException r
+        Refusal refusal = e instanceof RefusedException r
                 ? r.refusal()
-                : org.onyxhinge.core.schedule.Refusal.of(RefusalReason.STORE_UNAVAILABLE, e.getMessage(), 1_000);
+                : Refusal.of(RefusalReason.STORE_UNAVAILABLE, e.getMessage(), STORE_RETRY_MS);
         f.traffic().runOnContext(v -> f.dispatcher().refuse(f, refusal));
     }
 
     @Override
     public void firstToken(String requestId) {
-        control.runOnContext(v -> scheduler.firstToken(requestId));
+        control.runOnContext(v -> scheduler.firstToken(requestId, nowMs()));
+    }
+
+    @Override
+    public void unsent(String requestId) {
+        control.runOnContext(v -> execute(scheduler.unsent(requestId, nowMs())));
     }
 
     @Override
-    public void ended(String requestId, boolean dispatched, RefusalReason outcome) {
+    public void ended(String requestId, boolean sent, RefusalReason outcome) {
         control.runOnContext(v -> {
             flights.remove(requestId);
-            OnceRegistry.Claim claim = claims.remove(requestId);
-            if (!dispatched) {
-                scheduler.abandon(requestId);
-                if (claim != null) {
-                    once.release(claim);
-                }
-                return;
+            if (sent) {
+                claims.remove(requestId);
+            } else {
+                releaseClaim(requestId);
             }
-            execute(scheduler.finished(requestId, nowMs()));
+            execute(scheduler.ended(requestId, nowMs()));
         });
     }
 
+    private void releaseClaim(String requestId) {
+        OnceRegistry.Claim claim = claims.remove(requestId);
+        if (claim != null) {
+            once.release(claim);
+        }
+    }
+
     @Override
     public void hello(PeerMessage.Hello hello) {
         EngineInfo info = hello.engine();
@@ -251,26 +269,28 @@
         for (Action a : actions) {
             Flight f = flights.get(a.requestId());
             if (f == null) {
-                continue;
+                execute(scheduler.ended(a.requestId(), nowMs()));
+            } else {
+                execute(a, f);
+            }
+        }
+    }
+
+    private void execute(Action action, Flight f) {
+        switch (action) {
+            case Action.Dispatch d -> {
+                EngineInfo engine = engines.get(d.engineId());
+                f.traffic().runOnContext(v -> f.dispatcher().dispatch(f, engine));
+            }
+            case Action.Refuse r -> {
+                flights.remove(r.requestId());
+                releaseClaim(r.requestId());
+                f.traffic().runOnContext(v -> f.dispatcher().refuse(f, r.refusal()));
             }
-            switch (a) {
-                case Action.Dispatch d -> {
-                    EngineInfo engine = engines.get(d.engineId());
-                    f.traffic().runOnContext(v -> f.dispatcher().dispatch(f, engine));
-                }
-                case Action.Refuse r -> {
-                    flights.remove(a.requestId());
-                    OnceRegistry.Claim claim = claims.remove(a.requestId());
-                    if (claim != null) {
-                        once.release(claim);
-                    }
-                    f.traffic().runOnContext(v -> f.dispatcher().refuse(f, r.refusal()));
-                }
-                case Action.Cancel c -> {
-                    flights.remove(a.requestId());
-                    claims.remove(a.requestId());
-                    f.traffic().runOnContext(v -> f.dispatcher().cancel(f, c.refusal()));
-                }
+            case Action.Cancel c -> {
+                flights.remove(c.requestId());
+                claims.remove(c.requestId());
+                f.traffic().runOnContext(v -> f.dispatcher().cancel(f, c.refusal()));
             }
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.router;
 
 import io.vavr.control.Either;
+import org.onyxhinge.core.schedule.RoutingPolicy;
 import org.onyxhinge.core.schedule.SchedulerSettings;
 import org.onyxhinge.runtime.Settings;
 import org.onyxhinge.runtime.SettingsException;
@@ -23,6 +24,7 @@
  * @param kvCallTimeoutMs time a key-value call may take
  * @param leaseTtlMs time to live of the router's membership lease
  * @param drainTimeoutMs how long a planned stop waits for requests in progress
+ * @param onceWindowMs how long the idempotency key of a non-idempotent request is remembered
  * @param scheduler scheduler knobs
  */
 public record RouterSettings(
@@ -40,6 +42,7 @@
         long kvCallTimeoutMs,
         long leaseTtlMs,
         long drainTimeoutMs,
+        long onceWindowMs,
         SchedulerSettings scheduler) {
 
     /** Reads and checks the settings; the left side names every bad key. */
@@ -60,11 +63,23 @@
                 s.number("kv", "call_timeout_ms", 1_000, 10, 60_000),
                 s.number("kv", "lease_ttl_ms", 6_000, 500, 600_000),
                 s.number("router", "drain_timeout_ms", 30_000, 0, 3_600_000),
+                s.number("router", "once_window_ms", 86_400_000, 1_000, 604_800_000),
                 new SchedulerSettings(
+                        policy(s),
                         (int) s.number("scheduler", "queue_limit_per_tier", defaults.queueLimitPerTier(), 0, 1_000_000),
                         s.number("scheduler", "engine_silent_ms", defaults.engineSilentMs(), 100, 600_000),
                         s.number("scheduler", "min_retry_after_ms", defaults.minRetryAfterMs(), 0, 600_000),
-                        (int) s.number("scheduler", "recent_prefixes", defaults.recentPrefixes(), 0, 1_000_000)));
+                        (int) s.number("scheduler", "recent_prefixes", defaults.recentPrefixes(), 0, 1_000_000),
+                        (int) s.number("scheduler", "send_attempts", defaults.sendAttempts(), 1, 100)));
         return s.check().map(ok -> r);
     }
+
+    private static RoutingPolicy policy(Settings s) {
+        RoutingPolicy product = new RoutingPolicy.EarliestFirstToken();
+        String name = s.text("scheduler", "policy", product.settingName());
+        return RoutingPolicy.ofSetting(name).orElseGet(() -> {
+            s.problem("scheduler", "policy", "must be one of " + RoutingPolicy.settingNames() + ", got '" + name + "'");
+            return product;
+        });
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/SnapshotJson.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/SnapshotJson.java
@@ -18,6 +18,7 @@
                     .put("ownInFlight", e.ownInFlight())
                     .put("othersInFlight", e.othersInFlight())
                     .put("draining", e.draining())
+                    .put("slowness", e.slowness())
                     .put("lastHeardAtMs", e.lastHeardAtMs()));
         }
         JsonObject queued = new JsonObject();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/ControlPlane.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/ControlPlane.java
@@ -11,12 +11,17 @@
     /** The first token of a dispatched request came back. */
     void firstToken(String requestId);
 
+    /**
+     * No byte of a dispatched request could be sent: it was not run and may be offered to another target.
+     */
+    void unsent(String requestId);
+
     /**
      * A request reached its final answer, or its caller went away.
      *
      * @param requestId the request
-     * @param dispatched true when an engine was given it
+     * @param sent true when any of it was sent to an engine
      * @param outcome null when completed whole, else why it ended
      */
-    void ended(String requestId, boolean dispatched, RefusalReason outcome);
+    void ended(String requestId, boolean sent, RefusalReason outcome);
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -17,7 +18,7 @@
 
 /**
  * Sends flights to their targets and streams answers back, on one traffic context. A flight is sent
- * once; if the target cannot be reached the caller is told it was not run; if the target fails
+ * once; if the target cannot be reached the flight goes back to the scheduler, not run; if the target fails
  * mid-answer the caller is told the answer is partial. Answers reach only the caller whose request id
  * they carry: each engine stream is read on its own connection and forwarded to its own flight.
  */
@@ -28,7 +29,8 @@
     private static final String DATA = "data: ";
     private static final String DONE = "[DONE]";
     private static final long NS_PER_US = 1_000;
-    private static final long UNREACHABLE_RETRY_MS = 1_000;
+    private static final long FAILED_RETRY_MS = 1_000;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private final HttpClient client;
     private final ControlPlane control;
@@ -51,26 +53,42 @@
             control.ended(f.spec.requestId(), false, RefusalReason.CALLER_GONE);
             return;
         }
+        f.dispatchedNs = System.nanoTime();
+        client.request(options(f, engine))
+                .onFailure(e -> unreachable(f, engine, e))
+                .onSuccess(req -> send(f, req));
+    }
+
+    private static RequestOptions options(Flight f, EngineInfo engine) {
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost(engine.host())
                 .setPort(engine.port())
+                .setConnectTimeout(CONNECT_TIMEOUT_MS)
                 .setURI(f.request.plain() ? "/v1/calls/" + f.request.service() : "/v1/chat/completions")
                 .putHeader("content-type", "application/json")
                 .putHeader("x-request-id", f.spec.requestId());
         if (!f.spec.idempotencyKey().isEmpty()) {
             options.putHeader("idempotency-key", f.spec.idempotencyKey());
         }
+        return options;
+    }
+
+    /** The connection is up: sends the request, unless its flight ended while it waited. */
+    private void send(Flight f, HttpClientRequest req) {
+        if (!f.machine.tryFire("send")) {
+            req.reset();
+            return;
+        }
+        f.upstream = req;
+        f.sent = true;
+        long nowNs = System.nanoTime();
+        metrics.dispatchDelay((nowNs - f.arrivedNs) / NS_PER_US);
+        metrics.addedLatency((f.decidedNs - f.arrivedNs + nowNs - f.dispatchedNs) / NS_PER_US);
         Buffer body = f.request.plain()
                 ? f.request.body().toBuffer()
                 : f.request.body().copy().put("stream", true).toBuffer();
-        client.request(options).onFailure(e -> unreachable(f, engine, e)).onSuccess(req -> {
-            f.upstream = req;
-            metrics.dispatchDelay((System.nanoTime() - f.arrivedNs) / NS_PER_US);
-            req.send(body)
-                    .onSuccess(resp -> answer(f, resp))
-                    .onFailure(e -> failed(f, "send failed: " + e.getMessage()));
-        });
+        req.send(body).onSuccess(resp -> answer(f, resp)).onFailure(e -> failed(f, "send failed: " + e.getMessage()));
     }
 
     /** Answers the caller with a refusal; the request was not dispatched. */
@@ -88,20 +106,15 @@
             return;
         }
         metrics.refused(r.reason());
-        metrics.wastedPrefill(f.spec.promptTokens());
-        resetUpstream(f);
+        stopUpstream(f);
         endPartial(f, r);
     }
 
-    /** The caller went away: cancel on the engine if dispatched. */
+    /** The caller went away: cancel on the engine if any of it was sent. */
     public void abandoned(Flight f) {
-        boolean dispatched = f.upstream != null;
         if (f.machine.tryFire("abandon")) {
-            if (dispatched) {
-                metrics.wastedPrefill(f.spec.promptTokens());
-                resetUpstream(f);
-            }
-            control.ended(f.spec.requestId(), dispatched, RefusalReason.CALLER_GONE);
+            stopUpstream(f);
+            control.ended(f.spec.requestId(), f.sent, RefusalReason.CALLER_GONE);
         }
     }
 
@@ -109,12 +122,8 @@
         LOG.infof(
                 "dispatch unreachable request=%s engine=%s error=%s",
                 f.spec.requestId(), engine.engineId(), e.getMessage());
-        if (f.machine.tryFire("fail")) {
-            Refusal r = Refusal.of(
-                    RefusalReason.TARGET_UNREACHABLE, "target could not be reached; not run", UNREACHABLE_RETRY_MS);
-            metrics.refused(r.reason());
-            Answers.refuse(f.caller.response(), f.spec.requestId(), r);
-            control.ended(f.spec.requestId(), true, r.reason());
+        if (f.machine.tryFire("unsent")) {
+            control.unsent(f.spec.requestId());
         }
     }
 
@@ -232,10 +241,9 @@
         }
         LOG.infof("dispatch failed request=%s error=%s", f.spec.requestId(), why);
         f.machine.fire("fail");
-        Refusal r = Refusal.of(RefusalReason.TARGET_FAILED, why, UNREACHABLE_RETRY_MS);
+        Refusal r = Refusal.of(RefusalReason.TARGET_FAILED, why, FAILED_RETRY_MS);
         metrics.refused(r.reason());
-        metrics.wastedPrefill(f.spec.promptTokens());
-        resetUpstream(f);
+        stopUpstream(f);
         endPartial(f, r);
         control.ended(f.spec.requestId(), true, r.reason());
     }
@@ -266,8 +274,10 @@
         }
     }
 
-    private static void resetUpstream(Flight f) {
-        if (f.upstream != null) {
+    /** Cancels the request on its engine; what the engine did of its prompt is wasted. */
+    private void stopUpstream(Flight f) {
+        if (f.sent) {
+            metrics.wastedPrefill(f.spec.promptTokens());
             f.upstream.reset();
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Flight.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Flight.java
@@ -25,7 +25,10 @@
     final Context traffic;
     final Machine machine;
     final long arrivedNs;
+    volatile long decidedNs;
+    long dispatchedNs;
     HttpClientRequest upstream;
+    boolean sent;
     long firstTokenNs;
     long lastTokenNs;
     int tokens;
@@ -75,6 +78,13 @@
         return traffic;
     }
 
+    /** Notes when the scheduler first decided about it; called on the control context before any dispatch. */
+    public void decided(long nowNs) {
+        if (decidedNs == 0) {
+            decidedNs = nowNs;
+        }
+    }
+
     /** The lifecycle state, for the state dump. */
     public String state() {
         return machine.state();
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
@@ -282,7 +282,7 @@
     private KvMessage.Reply revoke(KvMessage.LeaseRevoke r) {
         Lease lease = leases.remove(r.leaseId());
         if (lease != null) {
-            lease.keys.forEach(this::remove);
+            removeKeysOf(r.leaseId(), lease);
         }
         return ok(r.callId(), List.of(), r.leaseId());
     }
@@ -297,7 +297,17 @@
         });
         for (long id : lapsed) {
             LOG.debugf("kv lease lapsed lease=%d", id);
-            leases.remove(id).keys.forEach(this::remove);
+            removeKeysOf(id, leases.remove(id));
+        }
+    }
+
+    /** Deletes the keys still bound to an ended lease; a key written again since under another stays. */
+    private void removeKeysOf(long leaseId, Lease lease) {
+        for (String key : lease.keys) {
+            KvEntry entry = data.get(key);
+            if (entry != null && entry.leaseId() == leaseId) {
+                remove(key);
+            }
         }
     }
 
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/DemoCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/DemoCommand.java
@@ -74,6 +74,7 @@
                     .put("byTier", byTier)
                     .put("wastedPrefillTokensRouterEstimate", router.getLong("prefill.wasted.tokens", 0L))
                     .put("routerDispatchDelay", router.getJsonObject("dispatchDelay"))
+                    .put("routerAddedLatency", router.getJsonObject("addedLatency"))
                     .put("engineStats", EngineStats.collect(site));
         }
     }
