load compare: the policy beside two baselines on the same requests, with CSV and plot

Change: 'onyxhinge-tools load compare' draws a synthetic workload from a deployment's sample (Poisson arrivals, seeded, 1x = what the engines' decoding or prefill can just carry), plays the same requests against a fresh embedded site per policy, load and scenario (steady, burst x3 in the middle fifth, the fastest engine 4x slower in the middle third), and writes comparison.csv and comparison.png. The engine stand-in no longer shows a slowdown in its load report. Several routers behind a round-robin driver are possible (--routers).

Found by it: at 2x load 17 of 409 print-slot requests were refused at their workspace's limit while the same workspace's lower tiers were being served. A workspace at its limit now gives up its own least important request instead (queued before running within a tier). First try gave up any queued request before any running one: SchedulerProperties failed at once (a silver request given up while a bronze one of its workspace ran) and it was put right. Ruled out: lifting the limit for higher tiers (one large workspace could take the pool again). The state dump is now built on request, not every 20 ms tick. The agent's load poll ends with its planned stop (it polled a closed client).

Tests: SchedulerProperties now checks that no request is refused at its workspace's limit while that workspace holds lower-tier work; 200 runs pass.

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -53,9 +53,9 @@
     private HttpServer status;
     private EngineInfo engine;
     private JsonObject lastLoad = new JsonObject();
+    private long pollTimer;
     private boolean targetReachable;
     private volatile boolean draining;
-    private volatile JsonObject lastDump = new JsonObject();
 
     private AgentNode(AgentSettings settings, Vertx vertx) {
         this.settings = settings;
@@ -96,9 +96,10 @@
                 settings.leaseTtlMs(),
                 this::fenced);
         kv.watch(ROUTERS_PREFIX, 0, this::routerEvent);
-        vertx.setPeriodic(settings.reportIntervalMs(), t -> poll());
+        pollTimer = vertx.setPeriodic(settings.reportIntervalMs(), t -> poll());
         Router web = Router.router(vertx);
-        StatusEndpoints.mount(web, metrics, () -> lastDump, () -> !draining);
+        StatusEndpoints.mount(
+                web, metrics, () -> onControl(() -> Future.succeededFuture(buildDump())), () -> !draining);
         status = vertx.createHttpServer().requestHandler(web);
         return status.listen(settings.statusPort(), settings.host()).map(s -> {
             LOG.infof(
@@ -139,7 +140,6 @@
                     report();
                 })
                 .onFailure(e -> targetReachable = false);
-        lastDump = buildDump();
     }
 
     private void refreshEngine(JsonObject load) {
@@ -215,7 +215,12 @@
             LOG.infof("agent draining id=%s", settings.agentId());
             waitIdle(System.nanoTime() / 1_000_000 + settings.drainTimeoutMs(), done);
         });
-        return done.future().compose(v -> membership.release()).eventually(() -> vertx.close());
+        return done.future()
+                .compose(v -> {
+                    vertx.cancelTimer(pollTimer);
+                    return membership.release();
+                })
+                .eventually(() -> vertx.close());
     }
 
     private void waitIdle(long untilMs, Promise<Void> done) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -16,7 +16,8 @@
  * refused or stopped. Engines know no priorities, so the router holds back work beyond each engine's
  * batch size and orders it by tier itself.
  *
- * <p>Rules, in order: a workspace over its limit is refused; a request goes to the free engine with
+ * <p>Rules, in order: a workspace at its limit is refused, unless it holds work of a lower tier that can
+ * give way; a request goes to the free engine with
  * the earliest estimated first token; when every engine is full it waits if its tier's budget allows;
  * otherwise running requests of a lower tier are stopped to make room; otherwise it is refused at once
  * with a time to come back. Queued requests that can no longer make their budget are refused as soon
@@ -85,12 +86,57 @@
         }
     }
 
-    /** Admits, queues, or refuses a new request. */
+    /**
+     * Admits, queues, or refuses a new request. A workspace at its limit makes room by giving up its own
+     * least important request, never a more important one.
+     */
     public List<Action> submit(RequestSpec spec, int workspaceLimit, long nowMs) {
-        if (inFlightByWorkspace.getOrDefault(spec.workspace(), 0) >= workspaceLimit) {
+        int before = inFlight(spec.workspace());
+        if (before >= workspaceLimit && !holdsLowerTier(spec)) {
             return List.of(refuse(spec, RefusalReason.WORKSPACE_LIMIT, "workspace at its limit", retryAfterMs(spec)));
         }
-        return place(spec, nowMs);
+        List<Action> out = new ArrayList<>(place(spec, nowMs));
+        if (inFlight(spec.workspace()) > Math.max(before, workspaceLimit)) {
+            out.add(displaceLowerTier(spec));
+        }
+        Invariants.check(
+                inFlight(spec.workspace()) <= Math.max(before, workspaceLimit),
+                "workspace within its limit",
+                spec.workspace());
+        return out;
+    }
+
+    private boolean holdsLowerTier(RequestSpec spec) {
+        return queues.leastImportant(spec).isPresent()
+                || leastImportantRunning(spec).isPresent();
+    }
+
+    /** Gives up the workspace's least important request; of one tier, a queued one before a running one. */
+    private Action displaceLowerTier(RequestSpec spec) {
+        String detail = "workspace at its limit; gave way to a higher tier";
+        RequestSpec queued = queues.leastImportant(spec).orElse(null);
+        Running running = leastImportantRunning(spec).orElse(null);
+        if (running == null || queued != null && queued.tier().rank() >= running.rank()) {
+            queues.remove(queued.requestId());
+            forget(queued);
+            return refuse(queued, RefusalReason.WORKSPACE_LIMIT, detail, retryAfterMs(queued));
+        }
+        EngineSlot slot = engines.get(running.engineId());
+        return stop(slot, running, RefusalReason.PREEMPTED, detail, retryAfterMs(running.spec()));
+    }
+
+    private Optional<Running> leastImportantRunning(RequestSpec spec) {
+        return engines.all().stream()
+                .flatMap(slot -> slot.running().stream())
+                .filter(r -> r.spec().workspace().equals(spec.workspace()))
+                .filter(r -> r.rank() > spec.tier().rank())
+                .max(Comparator.comparingInt(Running::rank)
+                        .thenComparing(r -> !r.firstTokenSeen())
+                        .thenComparingLong(Running::dispatchedAtMs));
+    }
+
+    private int inFlight(String workspace) {
+        return inFlightByWorkspace.getOrDefault(workspace, 0);
     }
 
     private List<Action> place(RequestSpec spec, long nowMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/TierQueues.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/TierQueues.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -34,6 +36,16 @@
         return spec;
     }
 
+    /** The newest queued request of the lowest tier below {@code spec}'s, in its workspace. */
+    Optional<RequestSpec> leastImportant(RequestSpec spec) {
+        return byId.values().stream()
+                .filter(q -> q.workspace().equals(spec.workspace()))
+                .filter(q -> q.tier().rank() > spec.tier().rank())
+                .max(Comparator.comparingInt((RequestSpec q) -> q.tier().rank())
+                        .thenComparingLong(RequestSpec::arrivedAtMs)
+                        .thenComparing(RequestSpec::requestId));
+    }
+
     int size(String pool, int rank) {
         return queue(pool, rank).size();
     }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
@@ -36,6 +36,8 @@
         new Tier("bronze", 2, 20_000, 1_000, 600_000)
     };
 
+    private static final int WORKSPACE_LIMIT = 5;
+
     @Property(tries = 200, seed = "42")
     void everyRequestEndsOnceAndNoneIsDispatchedTwice(
             @ForAll @LongRange(min = 1, max = Long.MAX_VALUE) long seed,
@@ -115,7 +117,7 @@
                     false,
                     nowMs);
             all.put(id, spec);
-            apply(scheduler.submit(spec, 20, nowMs));
+            apply(scheduler.submit(spec, WORKSPACE_LIMIT, nowMs));
         }
 
         private void progressOne() {
@@ -187,6 +189,9 @@
                                 dispatched.contains(r.requestId()),
                                 is(false));
                         assertThat(r.refusal().reason().notRun(), is(true));
+                        if (r.refusal().reason() == RefusalReason.WORKSPACE_LIMIT) {
+                            assertThat(lowerTierOpen(r.spec()), is(empty()));
+                        }
                         end(r.requestId(), "refused");
                     }
                     case Action.Cancel c -> {
@@ -197,6 +202,14 @@
             }
         }
 
+        /** Requests of the same workspace and a lower tier that are still queued or running. */
+        private Set<String> lowerTierOpen(RequestSpec spec) {
+            Set<String> lower = open();
+            lower.removeIf(id -> !all.get(id).workspace().equals(spec.workspace())
+                    || all.get(id).tier().rank() <= spec.tier().rank());
+            return lower;
+        }
+
         private void end(String id, String how) {
             assertThat("ended twice: " + id, ended.put(id, how) == null, is(true));
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -70,7 +70,6 @@
     private HttpServer admin;
     private LeaseKeeper membership;
     private volatile boolean draining;
-    private volatile JsonObject lastDump = new JsonObject();
 
     private RouterNode(RouterSettings settings, Vertx vertx) {
         this.settings = settings;
@@ -112,9 +111,9 @@
         return draining;
     }
 
-    /** The last state dump, refreshed by the control thread every tick. Safe from any thread. */
-    public JsonObject dump() {
-        return lastDump;
+    /** A state dump, built on the control thread. Safe from any thread. */
+    public Future<JsonObject> dump() {
+        return onControl(() -> Future.succeededFuture(buildDump()));
     }
 
     private Future<RouterNode> startOnControl() {
@@ -297,7 +296,6 @@
 
     private void tick() {
         execute(scheduler.tick(nowMs()));
-        lastDump = buildDump();
     }
 
     private JsonObject buildDump() {
--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/StatusEndpoints.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/StatusEndpoints.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 
@@ -22,9 +23,9 @@
 
     private StatusEndpoints() {}
 
-    /** Adds the status paths to a Vert.x web router. */
+    /** Adds the status paths to a Vert.x web router; {@code state} builds the dump each time it is asked for. */
     public static void mount(
-            Router router, MetricRegistry metrics, Supplier<JsonObject> state, Supplier<Boolean> healthy) {
+            Router router, MetricRegistry metrics, Supplier<Future<JsonObject>> state, Supplier<Boolean> healthy) {
         router.get("/healthz")
                 .handler(ctx -> ctx.response()
                         .setStatusCode(healthy.get() ? 200 : 503)
@@ -34,9 +35,12 @@
                         .putHeader("content-type", "application/json")
                         .end(toJson(metrics).encodePrettily()));
         router.get(STATE_PATH)
-                .handler(ctx -> ctx.response()
-                        .putHeader("content-type", "application/json")
-                        .end(state.get().encodePrettily()));
+                .handler(ctx -> state.get()
+                        .onSuccess(dump -> ctx.response()
+                                .putHeader("content-type", "application/json")
+                                .end(dump.put("usage", ProcessUsage.now().toJson())
+                                        .encodePrettily()))
+                        .onFailure(ctx::fail));
     }
 
     /** Counters, meters and gauges of a registry as one JSON object. */
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
@@ -23,7 +23,8 @@
  * chat-completions shape ({@code POST /v1/chat/completions}, streamed as server-sent events), admits
  * requests first come first served with no notion of priority, caches prompt prefixes (the system
  * message) in limited memory, and publishes its load late ({@code GET /load}). Closing the connection
- * cancels a request. {@code POST /admin/slowdown?factor=F} makes it F times slower without warning.
+ * cancels a request. {@code POST /admin/slowdown?factor=F} makes it F times slower without
+ * warning: its load report does not show it.
  * {@code GET /stats} gives exact counts, wasted prefill among them, for the load tool.
  *
  * <p>Every step of {@link #STEP_MS} the batch shares the prefill budget first come first served, then
@@ -255,8 +256,8 @@
                 .put("running", running.size())
                 .put("waiting", waiting.size())
                 .put("maxBatch", spec.maxBatch())
-                .put("prefillTokensPerSecond", (int) (spec.prefillTokensPerSecond() / slowdown))
-                .put("decodeTokensPerSecond", (int) Math.max(1, spec.decodeTokensPerSecond() / slowdown))
+                .put("prefillTokensPerSecond", spec.prefillTokensPerSecond())
+                .put("decodeTokensPerSecond", spec.decodeTokensPerSecond())
                 .put("checksFencing", spec.checksFencing())
                 .put("cachedPrefixes", prefixes);
     }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/ToolsMain.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/ToolsMain.java
@@ -6,6 +6,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.tools.demo.DemoCommand;
+import org.onyxhinge.tools.experiment.CompareCommand;
 import org.onyxhinge.tools.standin.EngineCommand;
 import org.onyxhinge.tools.standin.KvCommand;
 import org.onyxhinge.tools.standin.ServiceCommand;
@@ -17,6 +18,10 @@
         defaultCommand = Help.class,
         commands = {Help.class, DemoCommand.class},
         groups = {
+            @Group(
+                    name = "load",
+                    description = "Load and experiment tool",
+                    commands = {CompareCommand.class}),
             @Group(
                     name = "standin",
                     description = "Run one stand-in of the platform as its own process",
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/DemoCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/DemoCommand.java
@@ -3,14 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.google.protobuf.Message;
 import io.vertx.core.json.JsonObject;
-import org.onyxhinge.api.v1.TierSpec;
 import org.onyxhinge.router.admin.SetupFile;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Logs;
@@ -18,6 +15,7 @@
 import org.onyxhinge.tools.load.Driver;
 import org.onyxhinge.tools.load.Outcome;
 import org.onyxhinge.tools.load.Summary;
+import org.onyxhinge.tools.load.TierSummary;
 import org.onyxhinge.tools.load.WorkItem;
 import org.onyxhinge.tools.load.Workload;
 
@@ -62,30 +60,19 @@
 
     /** Runs a deployment and returns its report; used by the command and by tests. */
     public static JsonObject report(List<Target> targets, List<Message> setup, List<WorkItem> items) {
-        try (Embedded site = Embedded.start(targets, setup);
-                Driver driver = Driver.create(
-                        site.platform(), "127.0.0.1", site.router().settings().httpPort(), 60_000)) {
+        try (Embedded site = Embedded.start(targets, setup, Embedded.Options.defaults());
+                Driver driver = Driver.balanced(site.platform(), "127.0.0.1", site.httpPorts(), 60_000)) {
             List<Outcome> outcomes = Launch.await(driver.run(items), RUN_TIMEOUT_MS);
-            JsonObject byTier = Summary.byTier(outcomes, budgets(setup));
+            List<TierSummary> byTier = Summary.byTier(outcomes, Summary.budgets(setup));
             System.out.print(Summary.table(byTier));
             JsonObject router = site.router().metrics().toJson();
             return new JsonObject()
                     .put("requests", outcomes.size())
-                    .put("byTier", byTier)
+                    .put("byTier", Summary.toJson(byTier))
                     .put("wastedPrefillTokensRouterEstimate", router.getLong("prefill.wasted.tokens", 0L))
                     .put("routerDispatchDelay", router.getJsonObject("dispatchDelay"))
                     .put("routerAddedLatency", router.getJsonObject("addedLatency"))
                     .put("engineStats", EngineStats.collect(site));
         }
     }
-
-    private static Map<String, Summary.Budget> budgets(List<Message> setup) {
-        Map<String, Summary.Budget> out = new TreeMap<>();
-        for (Message m : setup) {
-            if (m instanceof TierSpec t) {
-                out.put(t.getName(), new Summary.Budget(t.getFirstTokenBudgetMs(), t.getDeadlineMs()));
-            }
-        }
-        return out;
-    }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
@@ -7,8 +7,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 import org.onyxhinge.agent.AgentNode;
 import org.onyxhinge.agent.AgentSettings;
+import org.onyxhinge.core.schedule.RoutingPolicy;
 import org.onyxhinge.router.RouterNode;
 import org.onyxhinge.router.RouterSettings;
 import org.onyxhinge.router.admin.AdminClient;
@@ -22,7 +24,7 @@
 /**
  * A whole small site in one JVM, each part on its own Vert.x instance and talking over loopback TCP as
  * separate processes would: the key-value stand-in, the target stand-ins, one agent per target, and
- * one router. Closing it stops the router and agents with a planned stop, then the stand-ins.
+ * one or more routers. Closing it stops the router and agents with a planned stop, then the stand-ins.
  */
 public final class Embedded implements AutoCloseable {
 
@@ -33,30 +35,52 @@
     private final List<AgentNode> agents = new ArrayList<>();
     private final List<Integer> enginePorts = new ArrayList<>();
     private KvStandIn kv;
-    private RouterNode router;
+    private final List<RouterNode> routers = new ArrayList<>();
 
     private Embedded() {}
 
-    /** Starts everything and applies the setup; returns once the router sees every target. */
-    public static Embedded start(List<Target> targets, List<Message> setup) {
+    /**
+     * What may vary between embedded sites.
+     *
+     * @param routers how many routers
+     * @param policy their routing policy
+     */
+    public record Options(int routers, RoutingPolicy policy) {
+
+        /** One router with the product's own policy. */
+        public static Options defaults() {
+            return new Options(1, new RoutingPolicy.EarliestFirstToken());
+        }
+    }
+
+    /** Starts everything and applies the setup; returns once every router sees every target. */
+    public static Embedded start(List<Target> targets, List<Message> setup, Options options) {
         Embedded e = new Embedded();
         e.kv = Launch.await(KvStandIn.start(e.platform, "127.0.0.1", 0, 1), START_MS);
-        e.router = Launch.await(RouterNode.start(routerSettings(e.kv.port())), START_MS);
+        for (int i = 1; i <= options.routers(); i++) {
+            RouterSettings settings = routerSettings("r" + i, e.kv.port(), options.policy());
+            e.routers.add(Launch.await(RouterNode.start(settings), START_MS));
+        }
         for (Target t : targets) {
             int port = e.startTarget(t);
             e.agents.add(Launch.await(AgentNode.start(agentSettings(t, port, e.kv.port())), START_MS));
         }
-        try (AdminClient admin =
-                AdminClient.create(e.platform, "127.0.0.1", e.router.settings().adminPort())) {
+        try (AdminClient admin = AdminClient.create(
+                e.platform, "127.0.0.1", e.router().settings().adminPort())) {
             Launch.await(admin.apply(setup), START_MS);
         }
         e.awaitEngines(targets.size());
         return e;
     }
 
-    /** The router, for its port, metrics and dump. */
+    /** The first router, for its metrics and dump. */
     public RouterNode router() {
-        return router;
+        return routers.get(0);
+    }
+
+    /** The callers' HTTP port of every router. */
+    public List<Integer> httpPorts() {
+        return routers.stream().map(r -> r.settings().httpPort()).toList();
     }
 
     /** The engine stand-ins' ports, for their exact statistics. */
@@ -91,22 +115,26 @@
     private void awaitEngines(int count) {
         long until = System.currentTimeMillis() + START_MS;
         while (System.currentTimeMillis() < until) {
-            JsonArray engines = router.dump()
-                    .getJsonObject("scheduler", new io.vertx.core.json.JsonObject())
-                    .getJsonArray("engines", new JsonArray());
-            if (engines.size() >= count) {
+            if (routers.stream().allMatch(r -> enginesSeen(r) >= count)) {
                 return;
             }
             sleep(WAIT_POLL_MS);
         }
-        throw new IllegalStateException("router did not see " + count + " targets in time");
+        throw new IllegalStateException("routers did not see " + count + " targets in time");
+    }
+
+    private static int enginesSeen(RouterNode router) {
+        return Launch.await(router.dump(), START_MS)
+                .getJsonObject("scheduler", new JsonObject())
+                .getJsonArray("engines", new JsonArray())
+                .size();
     }
 
-    private static RouterSettings routerSettings(int kvPort) {
+    private static RouterSettings routerSettings(String id, int kvPort, RoutingPolicy policy) {
         String text = String.join(
                 "\n",
                 "[router]",
-                "id = r1",
+                "id = " + id,
                 "data_centre = local",
                 "http_port = " + Ports.free(),
                 "admin_port = " + Ports.free(),
@@ -115,6 +143,7 @@
                 "[kv]",
                 "port = " + kvPort,
                 "[scheduler]",
+                "policy = " + policy.settingName(),
                 "engine_silent_ms = 2000");
         return Settings.fromText("embedded router", text)
                 .flatMap(RouterSettings::from)
@@ -156,7 +185,7 @@
     @Override
     public void close() {
         List<Future<Void>> stops = new ArrayList<>();
-        stops.add(router.drain());
+        routers.forEach(r -> stops.add(r.drain()));
         agents.forEach(a -> stops.add(a.drain()));
         Launch.await(Future.join(stops).mapEmpty(), START_MS);
         kv.close();
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/EngineStats.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/EngineStats.java
@@ -5,11 +5,12 @@
 import org.onyxhinge.runtime.Launch;
 
 /** Reads the engine stand-ins' exact counters (wasted prefill among them) and adds them up. */
-final class EngineStats {
+public final class EngineStats {
 
     private EngineStats() {}
 
-    static JsonObject collect(Embedded site) {
+    /** The sums over every engine of the site. */
+    public static JsonObject collect(Embedded site) {
         var http = site.platform().createHttpClient();
         long computed = 0;
         long wasted = 0;
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Target.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Target.java
@@ -22,4 +22,19 @@
         int decodeTokensPerSecond,
         int cachePrefixes,
         long loadLagMs,
-        long latencyMs) {}
+        long latencyMs) {
+
+    /** The same target under another name. */
+    public Target named(String other) {
+        return new Target(
+                other,
+                pool,
+                plain,
+                maxBatch,
+                prefillTokensPerSecond,
+                decodeTokensPerSecond,
+                cachePrefixes,
+                loadLagMs,
+                latencyMs);
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Driver.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Driver.java
@@ -18,7 +18,7 @@
 import io.vertx.core.parsetools.RecordParser;
 
 /**
- * Sends a workload to one router over loopback, each item at its time, and collects an {@link
+ * Sends a workload to routers over loopback, each item at its time, and collects an {@link
  * Outcome} per item. Bounded: every item is sent once and waited for at most {@code timeoutMs}.
  */
 public final class Driver implements AutoCloseable {
@@ -29,13 +29,14 @@
     private final Vertx vertx;
     private final HttpClient http;
     private final String host;
-    private final int port;
+    private final List<Integer> ports;
     private final long timeoutMs;
+    private int turn;
 
-    private Driver(Vertx vertx, String host, int port, long timeoutMs) {
+    private Driver(Vertx vertx, String host, List<Integer> ports, long timeoutMs) {
         this.vertx = vertx;
         this.host = host;
-        this.port = port;
+        this.ports = List.copyOf(ports);
         this.timeoutMs = timeoutMs;
         this.http = vertx.createHttpClient(
                 new HttpClientOptions().setKeepAlive(true), new PoolOptions().setHttp1MaxSize(POOL));
@@ -43,7 +44,12 @@
 
     /** Creates a driver for the router at {@code host:port}. */
     public static Driver create(Vertx vertx, String host, int port, long timeoutMs) {
-        return new Driver(vertx, host, port, timeoutMs);
+        return new Driver(vertx, host, List.of(port), timeoutMs);
+    }
+
+    /** Creates a driver that sends to each of several routers in turn, as the platform's balancer does. */
+    public static Driver balanced(Vertx vertx, String host, List<Integer> ports, long timeoutMs) {
+        return new Driver(vertx, host, ports, timeoutMs);
     }
 
     /** Sends every item at its time; completes when all have answered or timed out. */
@@ -67,7 +73,7 @@
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost(host)
-                .setPort(port)
+                .setPort(nextPort())
                 .setURI(item.plain() ? "/v1/calls/" + item.service() : "/v1/chat/completions")
                 .setIdleTimeout(timeoutMs)
                 .putHeader("content-type", "application/json")
@@ -84,6 +90,10 @@
         return done.future();
     }
 
+    private synchronized int nextPort() {
+        return ports.get(turn++ % ports.size());
+    }
+
     private static JsonObject body(WorkItem item) {
         String ask = Texts.words(item.key().isEmpty() ? item.service() + item.atMs() : item.key(), item.askWords());
         if (item.plain()) {
@@ -122,7 +132,7 @@
         try {
             j = new JsonObject(body);
         } catch (DecodeException e) {
-            return new Outcome(item, status, "", false, 0, -1, ms, "malformed", false, 0, body);
+            return new Outcome(item, status, "", false, 0, -1, ms, "malformed", false, 0, List.of(), body);
         }
         JsonObject err = j.getJsonObject("error");
         if (err != null) {
@@ -137,13 +147,16 @@
                     err.getString("type", ""),
                     err.getBoolean("not_run", false),
                     err.getLong("retry_after_ms", 0L),
+                    List.of(),
                     "");
         }
-        return new Outcome(item, status, j.getString("id", ""), status == 200, 1, ms, ms, "", false, 0, j.encode());
+        return new Outcome(
+                item, status, j.getString("id", ""), status == 200, 1, ms, ms, "", false, 0, List.of(), j.encode());
     }
 
     private static Outcome failed(WorkItem item, long startNs, String why) {
-        return new Outcome(item, 0, "", false, 0, -1, (System.nanoTime() - startNs) / NS_PER_MS, why, false, 0, "");
+        return new Outcome(
+                item, 0, "", false, 0, -1, (System.nanoTime() - startNs) / NS_PER_MS, why, false, 0, List.of(), "");
     }
 
     @Override
@@ -157,7 +170,9 @@
         private final long startNs;
         private final StringBuilder text = new StringBuilder();
         private String requestId;
+        private final List<Long> gapsMs = new ArrayList<>();
         private long firstMs = -1;
+        private long lastNs;
         private int tokens;
         private boolean done;
         private String errorType = "";
@@ -190,9 +205,13 @@
                     .getJsonObject("delta")
                     .getString("content");
             if (piece != null) {
+                long nowNs = System.nanoTime();
                 if (firstMs < 0) {
-                    firstMs = (System.nanoTime() - startNs) / NS_PER_MS;
+                    firstMs = (nowNs - startNs) / NS_PER_MS;
+                } else {
+                    gapsMs.add((nowNs - lastNs) / NS_PER_MS);
                 }
+                lastNs = nowNs;
                 tokens++;
                 text.append(piece);
             }
@@ -200,7 +219,8 @@
 
         private Outcome outcome(boolean whole) {
             long ms = (System.nanoTime() - startNs) / NS_PER_MS;
-            return new Outcome(item, 200, requestId, whole, tokens, firstMs, ms, errorType, notRun, 0, text.toString());
+            return new Outcome(
+                    item, 200, requestId, whole, tokens, firstMs, ms, errorType, notRun, 0, gapsMs, text.toString());
         }
     }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Outcome.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Outcome.java
@@ -1,5 +1,7 @@
 package org.onyxhinge.tools.load;
 
+import java.util.List;
+
 /**
  * What came back for one work item.
  *
@@ -13,6 +15,7 @@
  * @param errorType the error type the router gave, or empty
  * @param notRun the router's {@code not_run} flag on an error
  * @param retryAfterMs the router's {@code retry_after_ms} on an error
+ * @param gapsMs times between two pieces of the answer
  * @param text the answer's text, for golden files
  */
 public record Outcome(
@@ -26,4 +29,11 @@
         String errorType,
         boolean notRun,
         long retryAfterMs,
-        String text) {}
+        List<Long> gapsMs,
+        String text) {
+
+    /** Copies the list. */
+    public Outcome {
+        gapsMs = List.copyOf(gapsMs);
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Summary.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Summary.java
@@ -1,87 +1,107 @@
 package org.onyxhinge.tools.load;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
+import com.google.protobuf.Message;
 import io.vertx.core.json.JsonObject;
 import org.HdrHistogram.Histogram;
+import org.onyxhinge.api.v1.TierSpec;
 
 /**
- * Figures of one run by tier: sent, delivered whole, in time, refused by reason, and first-token
- * latency percentiles (HdrHistogram). In time means the first token within the tier's budget and the
- * whole answer within its deadline, both as seen by the driver.
+ * Adds up the outcomes of one run by tier. In time means the first token within the tier's budget and
+ * the whole answer within its deadline, both as seen by the driver.
  */
 public final class Summary {
 
-    private static final long HIGHEST_MS = 3_600_000;
-
     private Summary() {}
 
     /**
-     * The budgets of one tier, as the driver checks them.
+     * What the driver checks an answer against.
      *
+     * @param rank the tier's importance, 0 first
      * @param firstTokenBudgetMs first-token budget
      * @param deadlineMs whole-answer deadline
      */
-    public record Budget(long firstTokenBudgetMs, long deadlineMs) {}
+    public record Budget(int rank, long firstTokenBudgetMs, long deadlineMs) {
 
-    /** Figures by tier as JSON. */
-    public static JsonObject byTier(List<Outcome> outcomes, Map<String, Budget> budgets) {
-        Map<String, JsonObject> tiers = new TreeMap<>();
-        Map<String, Histogram> first = new TreeMap<>();
-        for (Outcome o : outcomes) {
-            String tier = o.item().tier();
-            JsonObject t = tiers.computeIfAbsent(
-                    tier,
-                    k -> new JsonObject()
-                            .put("sent", 0)
-                            .put("whole", 0)
-                            .put("inTime", 0)
-                            .put("refused", new JsonObject()));
-            t.put("sent", t.getInteger("sent") + 1);
-            if (o.whole()) {
-                t.put("whole", t.getInteger("whole") + 1);
-                Budget b = budgets.getOrDefault(tier, new Budget(Long.MAX_VALUE, Long.MAX_VALUE));
-                if (o.firstTokenMs() <= b.firstTokenBudgetMs() && o.totalMs() <= b.deadlineMs()) {
-                    t.put("inTime", t.getInteger("inTime") + 1);
-                }
-                first.computeIfAbsent(tier, k -> new Histogram(HIGHEST_MS, 3))
-                        .recordValue(Math.max(0, o.firstTokenMs()));
-            } else {
-                JsonObject refused = t.getJsonObject("refused");
-                String why = o.errorType().isEmpty() ? "status-" + o.status() : o.errorType();
-                refused.put(why, refused.getInteger(why, 0) + 1);
-            }
+        private static final Budget NONE = new Budget(Integer.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
+
+        private boolean met(Outcome o) {
+            return o.firstTokenMs() <= firstTokenBudgetMs && o.totalMs() <= deadlineMs;
         }
-        JsonObject out = new JsonObject();
-        tiers.forEach((tier, t) -> {
-            Histogram h = first.get(tier);
-            if (h != null) {
-                t.put("firstTokenP50Ms", h.getValueAtPercentile(50)).put("firstTokenP99Ms", h.getValueAtPercentile(99));
+    }
+
+    /** The budgets of the tiers in a setup file. */
+    public static Map<String, Budget> budgets(List<Message> setup) {
+        Map<String, Budget> out = new TreeMap<>();
+        for (Message m : setup) {
+            if (m instanceof TierSpec t) {
+                out.put(t.getName(), new Budget(t.getRank(), t.getFirstTokenBudgetMs(), t.getDeadlineMs()));
             }
-            out.put(tier, t);
-        });
+        }
+        return out;
+    }
+
+    /** Figures by tier, most important tier first. */
+    public static List<TierSummary> byTier(List<Outcome> outcomes, Map<String, Budget> budgets) {
+        Map<String, List<Outcome>> byTier = new TreeMap<>();
+        outcomes.forEach(o ->
+                byTier.computeIfAbsent(o.item().tier(), t -> new ArrayList<>()).add(o));
+        List<TierSummary> out = new ArrayList<>();
+        byTier.forEach((tier, all) -> out.add(tier(tier, all, budgets.getOrDefault(tier, Budget.NONE))));
+        out.sort(Comparator.comparingInt(
+                t -> budgets.getOrDefault(t.tier(), Budget.NONE).rank()));
         return out;
     }
 
+    private static TierSummary tier(String tier, List<Outcome> outcomes, Budget budget) {
+        int whole = 0;
+        int inTime = 0;
+        Map<String, Integer> refused = new TreeMap<>();
+        Histogram first = TierSummary.histogram();
+        Histogram gaps = TierSummary.histogram();
+        for (Outcome o : outcomes) {
+            if (!o.whole()) {
+                refused.merge(o.errorType().isEmpty() ? "status-" + o.status() : o.errorType(), 1, Integer::sum);
+                continue;
+            }
+            whole++;
+            inTime += budget.met(o) ? 1 : 0;
+            first.recordValue(Math.max(0, o.firstTokenMs()));
+            o.gapsMs().forEach(gaps::recordValue);
+        }
+        return new TierSummary(tier, outcomes.size(), whole, inTime, refused, first, gaps);
+    }
+
     /** A table for people, one line per tier. */
-    public static String table(JsonObject byTier) {
+    public static String table(List<TierSummary> tiers) {
         StringBuilder b = new StringBuilder(String.format(
-                "%-14s %6s %6s %7s %10s %10s  %s%n",
-                "tier", "sent", "whole", "inTime", "ft-p50-ms", "ft-p99-ms", "refused"));
-        for (String tier : byTier.fieldNames().stream().sorted().toList()) {
-            JsonObject t = byTier.getJsonObject(tier);
+                "%-14s %6s %6s %7s %9s %9s %9s %10s  %s%n",
+                "tier", "sent", "whole", "inTime", "ft-p50-ms", "ft-p95-ms", "ft-p99-ms", "gap-p95-ms", "refused"));
+        for (TierSummary t : tiers) {
             b.append(String.format(
-                    "%-14s %6d %6d %7d %10d %10d  %s%n",
-                    tier,
-                    t.getInteger("sent"),
-                    t.getInteger("whole"),
-                    t.getInteger("inTime"),
-                    t.getLong("firstTokenP50Ms", -1L),
-                    t.getLong("firstTokenP99Ms", -1L),
-                    t.getJsonObject("refused").encode()));
+                    "%-14s %6d %6d %7d %9d %9d %9d %10d  %s%n",
+                    t.tier(),
+                    t.sent(),
+                    t.whole(),
+                    t.inTime(),
+                    t.firstTokenMs().getValueAtPercentile(50),
+                    t.firstTokenMs().getValueAtPercentile(95),
+                    t.firstTokenMs().getValueAtPercentile(99),
+                    t.gapMs().getValueAtPercentile(95),
+                    t.refusedByReason()));
         }
         return b.toString();
     }
+
+    /** Figures by tier as JSON. */
+    public static JsonObject toJson(List<TierSummary> tiers) {
+        JsonObject out = new JsonObject();
+        tiers.forEach(t -> out.put(t.tier(), t.toJson()));
+        return out;
+    }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/WorkItem.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/WorkItem.java
@@ -46,4 +46,19 @@
             throw new IllegalArgumentException("workload line has a field of the wrong type: " + j.encode(), e);
         }
     }
+
+    /** The same request at another time; a non-empty key gets {@code suffix}, so it is a new request. */
+    public WorkItem copyAt(long otherAtMs, String suffix) {
+        return new WorkItem(
+                otherAtMs,
+                workspace,
+                tier,
+                service,
+                brief,
+                briefWords,
+                askWords,
+                maxTokens,
+                key.isEmpty() ? "" : key + "-" + suffix,
+                plain);
+    }
 }
