--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -3,8 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -18,37 +16,34 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import io.vertx.core.net.NetClient;
 import io.vertx.ext.web.Router;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.wire.kv.KvClient;
-import org.onyxhinge.wire.kv.KvMessage;
 import org.onyxhinge.wire.kv.LeaseKeeper;
 import org.onyxhinge.wire.peer.PeerMessage;
 
 /**
  * One agent process, assembled. All state lives on one event loop: it polls the target's load every
- * report interval, sends it to every router that holds a membership lease, and keeps its own lease.
+ * report interval, sends it to the routers that subscribed, and keeps the lease they find it by.
  */
 public final class AgentNode implements AutoCloseable {
 
-    /** Key prefix under which agents hold their membership leases. */
+    /** Key prefix under which agents are found: {@code members/agents/POOL/TARGET}. */
     public static final String MEMBERS_PREFIX = "members/agents/";
 
     private static final Logger LOG = Logger.getLogger(AgentNode.class);
-    private static final String ROUTERS_PREFIX = "members/routers/";
     private static final long DRAIN_POLL_MS = 50;
 
     private final AgentSettings settings;
     private final Vertx vertx;
     private final Context control;
     private final MetricRegistry metrics = new MetricRegistry();
-    private final Map<String, RouterLink> routers = new TreeMap<>();
     private KvClient kv;
     private HttpClient target;
-    private NetClient net;
+    private AgentOrders orders;
+    private RouterHub routers;
     private LeaseKeeper membership;
     private HttpServer status;
     private EngineInfo engine;
@@ -87,47 +82,44 @@
     private Future<AgentNode> startOnControl() {
         kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
         target = vertx.createHttpClient();
-        net = vertx.createNetClient();
-        membership = LeaseKeeper.hold(
-                vertx,
-                kv,
-                MEMBERS_PREFIX + settings.agentId(),
-                settings.targetId().getBytes(StandardCharsets.UTF_8),
-                settings.leaseTtlMs(),
-                this::fenced);
-        kv.watch(ROUTERS_PREFIX, 0, this::routerEvent);
-        pollTimer = vertx.setPeriodic(settings.reportIntervalMs(), t -> poll());
+        orders = new AgentOrders(kv, target, settings);
+        return RouterHub.start(vertx, settings.host(), settings.peerPort(), settings.targetId(), this::hello, orders)
+                .compose(hub -> {
+                    routers = hub;
+                    return startStatus();
+                })
+                .map(s -> {
+                    pollTimer = vertx.setPeriodic(settings.reportIntervalMs(), t -> poll());
+                    register();
+                    LOG.infof(
+                            "agent started id=%s target=%s pool=%s status=%d peer=%d",
+                            settings.agentId(), settings.targetId(), settings.pool(), s.actualPort(), routers.port());
+                    return this;
+                });
+    }
+
+    private Future<HttpServer> startStatus() {
         Router web = Router.router(vertx);
         StatusEndpoints.mount(
                 web, metrics, () -> onControl(() -> Future.succeededFuture(buildDump())), () -> !draining);
         status = vertx.createHttpServer().requestHandler(web);
-        return status.listen(settings.statusPort(), settings.host()).map(s -> {
-            LOG.infof(
-                    "agent started id=%s target=%s pool=%s status=%d",
-                    settings.agentId(), settings.targetId(), settings.pool(), s.actualPort());
-            return this;
-        });
+        return status.listen(settings.statusPort(), settings.host());
     }
 
-    private void fenced(long token) {
-        LOG.infof("agent fencing token=%d", token);
-        routers.values().forEach(r -> r.send(hello()));
+    /** Makes this agent findable by routers under its pool and target. */
+    private void register() {
+        String address = settings.advertiseHost() + ":" + routers.port();
+        membership = LeaseKeeper.hold(
+                vertx,
+                kv,
+                MEMBERS_PREFIX + settings.pool() + "/" + settings.targetId(),
+                address.getBytes(StandardCharsets.UTF_8),
+                settings.leaseTtlMs(),
+                token -> {});
     }
 
     private PeerMessage.Hello hello() {
-        return new PeerMessage.Hello(settings.agentId(), engine, membership == null ? 0 : membership.fencingToken());
-    }
-
-    private void routerEvent(KvMessage.Event e) {
-        String routerId = e.entry().key().substring(ROUTERS_PREFIX.length());
-        RouterLink old = routers.remove(routerId);
-        if (old != null) {
-            old.close();
-        }
-        if (!e.deleted()) {
-            Supplier<PeerMessage.Hello> h = this::hello;
-            routers.put(routerId, new RouterLink(vertx, net, routerId, e.entry().text(), h));
-        }
+        return new PeerMessage.Hello(settings.agentId(), engine);
     }
 
     private void poll() {
@@ -154,7 +146,7 @@
                 load.getBoolean("checksFencing", false));
         if (!next.equals(engine)) {
             engine = next;
-            routers.values().forEach(r -> r.send(hello()));
+            routers.broadcast(hello());
         }
     }
 
@@ -171,19 +163,11 @@
                 prefixes,
                 draining,
                 System.currentTimeMillis());
-        routers.values().forEach(r -> r.send(load));
+        routers.broadcast(load);
         metrics.meter("reports.sent").mark();
     }
 
     private JsonObject buildDump() {
-        JsonObject links = new JsonObject();
-        long frames = 0;
-        long bytes = 0;
-        for (RouterLink r : routers.values()) {
-            links.put(r.routerId(), r.connected());
-            frames += r.framesSent();
-            bytes += r.bytesSent();
-        }
         return new JsonObject()
                 .put("process", "agent")
                 .put("agentId", settings.agentId())
@@ -193,13 +177,14 @@
                 .put("draining", draining)
                 .put("targetReachable", targetReachable)
                 .put("lastLoad", lastLoad)
-                .put("routers", links)
-                .put("peerFramesSent", frames)
-                .put("peerBytesSent", bytes)
+                .put("routers", new JsonArray(List.copyOf(routers.routerIds())))
+                .put("peerFramesOut", routers.traffic().framesOut())
+                .put("peerBytesOut", routers.traffic().bytesOut())
+                .put("peerBytesIn", routers.traffic().bytesIn())
                 .put("kvConnected", kv.connected())
                 .put("kvCalls", kv.callCount())
                 .put("leaseHeld", membership.held())
-                .put("fencingToken", membership.fencingToken());
+                .put("highestOrderToken", orders.highestToken());
     }
 
     /**
@@ -211,7 +196,7 @@
         control.runOnContext(v -> {
             draining = true;
             report();
-            routers.values().forEach(r -> r.send(new PeerMessage.Bye(settings.targetId())));
+            routers.broadcast(new PeerMessage.Bye(settings.targetId()));
             LOG.infof("agent draining id=%s", settings.agentId());
             waitIdle(System.nanoTime() / 1_000_000 + settings.drainTimeoutMs(), done);
         });
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentSettings.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentSettings.java
@@ -12,6 +12,8 @@
  * @param dataCentre data centre it runs in
  * @param host address its status port listens on
  * @param statusPort port of its status paths
+ * @param peerPort TCP port routers connect to
+ * @param advertiseHost address routers connect to
  * @param reportIntervalMs time between load reports
  * @param drainTimeoutMs how long a planned stop waits for the target to go idle
  * @param targetId the target's engine id
@@ -31,6 +33,8 @@
         String dataCentre,
         String host,
         int statusPort,
+        int peerPort,
+        String advertiseHost,
         long reportIntervalMs,
         long drainTimeoutMs,
         String targetId,
@@ -52,6 +56,8 @@
                 s.text("agent", "data_centre"),
                 s.text("agent", "host", "127.0.0.1"),
                 s.port("agent", "status_port", 9090),
+                s.port("agent", "peer_port", 9091),
+                s.text("agent", "advertise_host", "127.0.0.1"),
                 s.number("agent", "report_interval_ms", 250, 10, 60_000),
                 s.number("agent", "drain_timeout_ms", 30_000, 0, 3_600_000),
                 s.text("target", "id"),
--- a/onyxhinge-api/src/main/java/org/onyxhinge/api/AdminMethods.java
+++ b/onyxhinge-api/src/main/java/org/onyxhinge/api/AdminMethods.java
@@ -6,6 +6,8 @@
 import io.vertx.grpc.common.ServiceName;
 import org.onyxhinge.api.v1.ConfigReply;
 import org.onyxhinge.api.v1.GetConfigRequest;
+import org.onyxhinge.api.v1.OrderPoolReply;
+import org.onyxhinge.api.v1.OrderPoolRequest;
 import org.onyxhinge.api.v1.PutPoolRequest;
 import org.onyxhinge.api.v1.PutReply;
 import org.onyxhinge.api.v1.PutServiceRequest;
@@ -62,6 +64,14 @@
     public static final ServiceMethod<ConfigReply, GetConfigRequest> GET_CONFIG_CALL =
             ServiceMethod.client(SERVICE, "GetConfig", GrpcMessageEncoder.encoder(), decoder(ConfigReply.newBuilder()));
 
+    /** Server side of {@code OrderPool}. */
+    public static final ServiceMethod<OrderPoolRequest, OrderPoolReply> ORDER_POOL = ServiceMethod.server(
+            SERVICE, "OrderPool", GrpcMessageEncoder.encoder(), decoder(OrderPoolRequest.newBuilder()));
+
+    /** Client side of {@code OrderPool}. */
+    public static final ServiceMethod<OrderPoolReply, OrderPoolRequest> ORDER_POOL_CALL = ServiceMethod.client(
+            SERVICE, "OrderPool", GrpcMessageEncoder.encoder(), decoder(OrderPoolReply.newBuilder()));
+
     private AdminMethods() {}
 
     private static <T> GrpcMessageDecoder<T> decoder(com.google.protobuf.MessageOrBuilder prototype) {
--- a/onyxhinge-api/src/main/java/org/onyxhinge/api/v1/AdminProto.java
+++ b/onyxhinge-api/src/main/java/org/onyxhinge/api/v1/AdminProto.java
@@ -86,6 +86,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_onyxhinge_admin_v1_ConfigReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_onyxhinge_admin_v1_OrderPoolRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_onyxhinge_admin_v1_OrderPoolRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_onyxhinge_admin_v1_TargetOrderResult_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_onyxhinge_admin_v1_TargetOrderResult_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_onyxhinge_admin_v1_OrderPoolReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_onyxhinge_admin_v1_OrderPoolReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -126,20 +141,32 @@
       "ces\030\004 \003(\0132\037.onyxhinge.admin.v1.ServiceSp" +
       "ec\022+\n\005pools\030\005 \003(\0132\034.onyxhinge.admin.v1.P" +
       "oolSpec\022/\n\010versions\030\006 \003(\0132\035.onyxhinge.ad" +
-      "min.v1.Versioned*A\n\013ServiceKind\022\034\n\030SERVI" +
-      "CE_KIND_UNSPECIFIED\020\000\022\t\n\005MODEL\020\001\022\t\n\005PLAI" +
-      "N\020\0022\237\003\n\005Admin\022K\n\007PutTier\022\".onyxhinge.adm" +
-      "in.v1.PutTierRequest\032\034.onyxhinge.admin.v" +
-      "1.PutReply\022U\n\014PutWorkspace\022\'.onyxhinge.a" +
-      "dmin.v1.PutWorkspaceRequest\032\034.onyxhinge." +
-      "admin.v1.PutReply\022Q\n\nPutService\022%.onyxhi" +
-      "nge.admin.v1.PutServiceRequest\032\034.onyxhin" +
-      "ge.admin.v1.PutReply\022K\n\007PutPool\022\".onyxhi" +
-      "nge.admin.v1.PutPoolRequest\032\034.onyxhinge." +
-      "admin.v1.PutReply\022R\n\tGetConfig\022$.onyxhin" +
-      "ge.admin.v1.GetConfigRequest\032\037.onyxhinge" +
-      ".admin.v1.ConfigReplyB$\n\024org.onyxhinge.a" +
-      "pi.v1B\nAdminProtoP\001b\006proto3"
+      "min.v1.Versioned\"_\n\020OrderPoolRequest\022\014\n\004" +
+      "pool\030\001 \001(\t\022+\n\004kind\030\002 \001(\0162\035.onyxhinge.adm" +
+      "in.v1.OrderKind\022\020\n\010argument\030\003 \001(\t\"F\n\021Tar" +
+      "getOrderResult\022\021\n\ttarget_id\030\001 \001(\t\022\016\n\006sta" +
+      "tus\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\"_\n\016OrderPoolRe" +
+      "ply\022\025\n\rfencing_token\030\001 \001(\003\0226\n\007results\030\002 " +
+      "\003(\0132%.onyxhinge.admin.v1.TargetOrderResu" +
+      "lt*A\n\013ServiceKind\022\034\n\030SERVICE_KIND_UNSPEC" +
+      "IFIED\020\000\022\t\n\005MODEL\020\001\022\t\n\005PLAIN\020\002*h\n\tOrderKi" +
+      "nd\022\032\n\026ORDER_KIND_UNSPECIFIED\020\000\022\016\n\nLOAD_M" +
+      "ODEL\020\001\022\020\n\014LOAD_ADAPTER\020\002\022\017\n\013SET_VERSION\020" +
+      "\003\022\014\n\010SET_ROLE\020\0042\366\003\n\005Admin\022K\n\007PutTier\022\".o" +
+      "nyxhinge.admin.v1.PutTierRequest\032\034.onyxh" +
+      "inge.admin.v1.PutReply\022U\n\014PutWorkspace\022\'" +
+      ".onyxhinge.admin.v1.PutWorkspaceRequest\032" +
+      "\034.onyxhinge.admin.v1.PutReply\022Q\n\nPutServ" +
+      "ice\022%.onyxhinge.admin.v1.PutServiceReque" +
+      "st\032\034.onyxhinge.admin.v1.PutReply\022K\n\007PutP" +
+      "ool\022\".onyxhinge.admin.v1.PutPoolRequest\032" +
+      "\034.onyxhinge.admin.v1.PutReply\022R\n\tGetConf" +
+      "ig\022$.onyxhinge.admin.v1.GetConfigRequest" +
+      "\032\037.onyxhinge.admin.v1.ConfigReply\022U\n\tOrd" +
+      "erPool\022$.onyxhinge.admin.v1.OrderPoolReq" +
+      "uest\032\".onyxhinge.admin.v1.OrderPoolReply" +
+      "B$\n\024org.onyxhinge.api.v1B\nAdminProtoP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -217,6 +244,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_onyxhinge_admin_v1_ConfigReply_descriptor,
         new java.lang.String[] { "Revision", "Tiers", "Workspaces", "Services", "Pools", "Versions", });
+    internal_static_onyxhinge_admin_v1_OrderPoolRequest_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_onyxhinge_admin_v1_OrderPoolRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_onyxhinge_admin_v1_OrderPoolRequest_descriptor,
+        new java.lang.String[] { "Pool", "Kind", "Argument", });
+    internal_static_onyxhinge_admin_v1_TargetOrderResult_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_onyxhinge_admin_v1_TargetOrderResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_onyxhinge_admin_v1_TargetOrderResult_descriptor,
+        new java.lang.String[] { "TargetId", "Status", "Detail", });
+    internal_static_onyxhinge_admin_v1_OrderPoolReply_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_onyxhinge_admin_v1_OrderPoolReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_onyxhinge_admin_v1_OrderPoolReply_descriptor,
+        new java.lang.String[] { "FencingToken", "Results", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/model/ClusterConfig.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/model/ClusterConfig.java
@@ -52,4 +52,9 @@
     public int tierCount() {
         return tiers.size();
     }
+
+    /** The rank of the least important tier; the largest integer when there is no tier. */
+    public int lowestRank() {
+        return tiers.values().stream().mapToInt(Tier::rank).max().orElse(Integer.MAX_VALUE);
+    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Action.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Action.java
@@ -42,4 +42,18 @@
      * @param refusal what to tell the caller
      */
     record Cancel(String requestId, String engineId, Refusal refusal) implements Action {}
+
+    /**
+     * Ask the engine's other routers, through its agent, to stop a request of a lower tier. The answer
+     * goes to {@link Scheduler#roomAnswered}.
+     *
+     * @param spec the request that would otherwise be refused
+     * @param engineId the engine
+     */
+    record AskRoom(RequestSpec spec, String engineId) implements Action {
+        @Override
+        public String requestId() {
+            return spec.requestId();
+        }
+    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
@@ -25,6 +25,8 @@
     private boolean draining;
     private boolean unreachable;
     private long lastHeardAtMs;
+    private int fullBelowRank = Integer.MAX_VALUE;
+    private long fullUntilMs;
     private double slowness = 1.0;
 
     EngineSlot(EngineInfo info, int prefixCapacity, long nowMs) {
@@ -114,6 +116,26 @@
         report.cachedPrefixes().forEach(prefixes::remember);
     }
 
+    /** Another router stopped one of its requests here. */
+    void roomMade() {
+        othersInFlight = Math.max(0, othersInFlight - 1);
+    }
+
+    /** No other router had work here of a tier below {@code rank}; true until {@code untilMs}. */
+    void noRoomBelow(int rank, long untilMs) {
+        fullBelowRank = rank;
+        fullUntilMs = untilMs;
+    }
+
+    /** True when another router may run lower-tier work here whose stopping would let {@code spec} start. */
+    boolean othersMayMakeRoom(RequestSpec spec, long nowMs) {
+        boolean knownFull = nowMs < fullUntilMs && spec.tier().rank() >= fullBelowRank;
+        return othersInFlight > 0
+                && !knownFull
+                && inFlight() <= info.maxBatch()
+                && nowMs + firstTokenEstimateMs(spec) <= spec.firstTokenDueAtMs();
+    }
+
     void drain() {
         draining = true;
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Preemption.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Preemption.java
@@ -43,12 +43,21 @@
         return false;
     }
 
-    private static Room roomOn(EngineSlot slot, RequestSpec spec, long nowMs) {
-        List<Running> lower = lowerTier(slot, spec);
-        lower.sort(Comparator.comparingInt(Running::rank)
+    /** This router's least important request on an engine of a tier below {@code rank}, cheapest first. */
+    static Optional<Running> leastImportantBelow(EngineSlot slot, int rank) {
+        return slot.running().stream().filter(r -> r.rank() > rank).min(victimOrder(slot));
+    }
+
+    private static Comparator<Running> victimOrder(EngineSlot slot) {
+        return Comparator.comparingInt(Running::rank)
                 .reversed()
                 .thenComparingLong(slot::sunkPrefillTokens)
-                .thenComparing(Comparator.comparingLong(Running::dispatchedAtMs).reversed()));
+                .thenComparing(Comparator.comparingLong(Running::dispatchedAtMs).reversed());
+    }
+
+    private static Room roomOn(EngineSlot slot, RequestSpec spec, long nowMs) {
+        List<Running> lower = lowerTier(slot, spec);
+        lower.sort(victimOrder(slot));
         Set<String> without = new HashSet<>();
         long wasted = 0;
         for (int i = 0; i < lower.size(); i++) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,12 +17,13 @@
  * refused or stopped. Engines know no priorities, so the router holds back work beyond each engine's
  * batch size and orders it by tier itself.
  *
- * <p>Rules, in order: a workspace at its limit is refused, unless it holds work of a lower tier that can
- * give way; a request goes to the free engine with
- * the earliest estimated first token; when every engine is full it waits if its tier's budget allows;
- * otherwise running requests of a lower tier are stopped to make room; otherwise it is refused at once
- * with a time to come back. Queued requests that can no longer make their budget are refused as soon
- * as that is known, never held back. Running requests past their tier's deadline are stopped.
+ * <p>Rules, in order: a workspace at its limit is refused, unless it holds work of a lower tier that
+ * can give way; a request goes to the free engine with the earliest estimated first token; when every
+ * engine is full it waits if its tier's budget allows; otherwise running requests of a lower tier are
+ * stopped to make room, this router's own or, through the engine's agent, another router's; otherwise
+ * it is refused at once with a time to come back. Queued requests that can no longer make their budget
+ * are refused as soon as that is known, never held back. Running requests past their tier's deadline
+ * are stopped.
  *
  * <p>A request is handed to an engine at most once, except that an adapter which could not send a
  * single byte of it says so with {@link #unsent}, and it is offered to another engine.
@@ -34,6 +36,7 @@
     private static final long NO_TARGET_RETRY_MS = 5_000;
     private static final double SERVICE_EWMA_WEIGHT = 0.1;
     private static final double INITIAL_SERVICE_MS = 2_000;
+    private static final long ASK_TIMEOUT_MS = 150;
     private static final int FORGET_AFTER_SILENCES = 20;
 
     private final SchedulerSettings settings;
@@ -44,17 +47,27 @@
     private final Map<String, Integer> inFlightByWorkspace = new HashMap<>();
     private final Map<String, Double> serviceMsByPool = new HashMap<>();
     private final DispatchHistory dispatched = new DispatchHistory();
+    private final Map<String, AskedRoom> asking = new LinkedHashMap<>();
+    private int lowestRank = Integer.MAX_VALUE;
     private long turn;
 
     private Scheduler(SchedulerSettings settings) {
         this.settings = settings;
     }
 
+    /** A request that waits for other routers to make room. */
+    private record AskedRoom(RequestSpec spec, String engineId, long askedAtMs) {}
+
     /** Creates a scheduler with no engines. */
     public static Scheduler create(SchedulerSettings settings) {
         return new Scheduler(settings);
     }
 
+    /** Tells which tier is the lowest configured: its requests never ask others to make room. */
+    public void lowestRank(int rank) {
+        lowestRank = rank;
+    }
+
     /** Adds an engine, or refreshes it when its agent joins again. */
     public List<Action> engineJoined(EngineInfo info, long nowMs) {
         EngineSlot old = engines.get(info.engineId());
@@ -206,6 +219,11 @@
     /** Releases a request that ended for any reason, wherever it was, and fills a freed slot. */
     public List<Action> ended(String requestId, long nowMs) {
         offersByRequest.remove(requestId);
+        AskedRoom ask = asking.remove(requestId);
+        if (ask != null) {
+            forget(ask.spec());
+            return List.of();
+        }
         RequestSpec queued = queues.remove(requestId);
         if (queued != null) {
             forget(queued);
@@ -229,6 +247,7 @@
     public List<Action> tick(long nowMs) {
         List<Action> out = new ArrayList<>();
         stopOverdue(out, nowMs);
+        endUnansweredAsks(out, nowMs);
         for (String pool : queues.pools()) {
             if (!queues.isEmpty(pool)) {
                 out.addAll(expireQueued(pool, nowMs));
@@ -249,6 +268,14 @@
         }
     }
 
+    private void endUnansweredAsks(List<Action> out, long nowMs) {
+        for (AskedRoom ask : List.copyOf(asking.values())) {
+            if (nowMs - ask.askedAtMs() > ASK_TIMEOUT_MS) {
+                out.addAll(roomAnswered(ask.spec().requestId(), false, nowMs));
+            }
+        }
+    }
+
     private void forgetGoneEngines(long nowMs) {
         long goneMs = settings.engineSilentMs() * FORGET_AFTER_SILENCES;
         for (EngineSlot slot : List.copyOf(engines.all())) {
@@ -301,6 +328,12 @@
         if (room.isPresent()) {
             return preempt(room.get(), spec, nowMs);
         }
+        Optional<EngineSlot> shared = mayShareRoom(spec, live, nowMs);
+        if (shared.isPresent()) {
+            asking.put(spec.requestId(), new AskedRoom(spec, shared.get().id(), nowMs));
+            count(spec);
+            return List.of(new Action.AskRoom(spec, shared.get().id()));
+        }
         Invariants.check(
                 !Invariants.enabled() || !Preemption.lowerTierCouldHelp(live, spec, nowMs),
                 "no higher tier shed while a lower tier is served",
@@ -308,6 +341,48 @@
         return List.of(refuse(spec, reason, "every target is busy past the tier's budget", retryAfterMs));
     }
 
+    private Optional<EngineSlot> mayShareRoom(RequestSpec spec, List<EngineSlot> live, long nowMs) {
+        if (spec.tier().rank() >= lowestRank) {
+            return Optional.empty();
+        }
+        return live.stream()
+                .filter(s -> s.othersMayMakeRoom(spec, nowMs))
+                .min(Comparator.comparingLong(s -> s.firstTokenEstimateMs(spec)));
+    }
+
+    /**
+     * The answer to {@link Action.AskRoom}: another router stopped a lower-tier request, or none had
+     * one, in which case the next engine is asked or the request is refused.
+     */
+    public List<Action> roomAnswered(String requestId, boolean made, long nowMs) {
+        AskedRoom ask = asking.remove(requestId);
+        if (ask == null) {
+            return List.of();
+        }
+        forget(ask.spec());
+        EngineSlot slot = engines.get(ask.engineId());
+        if (slot != null && made) {
+            slot.roomMade();
+        } else if (slot != null) {
+            slot.noRoomBelow(ask.spec().tier().rank(), nowMs + settings.askAgainMs());
+        }
+        return place(ask.spec(), nowMs);
+    }
+
+    /** Another router needs room on an engine: stops this router's least important request below {@code rank}. */
+    public Optional<Action> makeRoom(String engineId, int rank) {
+        EngineSlot slot = engines.get(engineId);
+        return slot == null
+                ? Optional.empty()
+                : Preemption.leastImportantBelow(slot, rank)
+                        .map(r -> stop(
+                                slot,
+                                r,
+                                RefusalReason.PREEMPTED,
+                                "stopped to serve a higher tier",
+                                retryAfterMs(r.spec())));
+    }
+
     private List<Action> preempt(Preemption.Room room, RequestSpec spec, long nowMs) {
         List<Action> out = new ArrayList<>();
         for (Running victim : room.victims()) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
@@ -10,6 +10,7 @@
  * @param recentPrefixes how many prefix hashes are remembered per engine
  * @param sendAttempts how many targets a request may be offered to before it is refused as unreachable;
  *     an offer counts only while no byte of the request has been sent
+ * @param askAgainMs at least 1: how long an engine whose other routers had no lower-tier work is not asked again
  */
 public record SchedulerSettings(
         RoutingPolicy policy,
@@ -17,16 +18,18 @@
         long engineSilentMs,
         long minRetryAfterMs,
         int recentPrefixes,
-        int sendAttempts) {
+        int sendAttempts,
+        long askAgainMs) {
 
-    /** Defaults that suit the sample workloads. */
-    public static SchedulerSettings defaults() {
-        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3);
+    /** Rejects an {@code askAgainMs} of 0, which would ask the same engine for ever. */
+    public SchedulerSettings {
+        if (askAgainMs < 1 || sendAttempts < 1) {
+            throw new IllegalArgumentException("askAgainMs and sendAttempts must be at least 1");
+        }
     }
 
-    /** The same knobs with another policy. */
-    public SchedulerSettings withPolicy(RoutingPolicy other) {
-        return new SchedulerSettings(
-                other, queueLimitPerTier, engineSilentMs, minRetryAfterMs, recentPrefixes, sendAttempts);
+    /** Defaults that suit the sample workloads. */
+    public static SchedulerSettings defaults() {
+        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3, 200);
     }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
@@ -57,8 +57,8 @@
     /** One randomised session against a scheduler, checking each action as it comes. */
     private static final class Run {
         private final Random random;
-        private final Scheduler scheduler =
-                Scheduler.create(new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 8, 3_000, 500, 64, 3));
+        private final Scheduler scheduler = Scheduler.create(
+                new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 8, 3_000, 500, 64, 3, 1));
         private final Set<String> dispatched = new HashSet<>();
         private final Map<String, RequestSpec> running = new HashMap<>();
         private final Map<String, String> ended = new HashMap<>();
@@ -194,6 +194,7 @@
                         }
                         end(r.requestId(), "refused");
                     }
+                    case Action.AskRoom r -> apply(scheduler.roomAnswered(r.requestId(), false, nowMs));
                     case Action.Cancel c -> {
                         running.remove(c.requestId());
                         end(c.requestId(), "cancelled");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
@@ -31,8 +33,9 @@
 import org.onyxhinge.router.dispatch.Flight;
 import org.onyxhinge.router.dispatch.OnceRegistry;
 import org.onyxhinge.router.dispatch.RefusedException;
+import org.onyxhinge.router.order.OrderService;
+import org.onyxhinge.router.peer.AgentLinks;
 import org.onyxhinge.router.peer.PeerListener;
-import org.onyxhinge.router.peer.PeerServer;
 import org.onyxhinge.wire.kv.KvClient;
 import org.onyxhinge.wire.kv.LeaseKeeper;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -49,7 +52,7 @@
 
     private static final Logger LOG = Logger.getLogger(RouterNode.class);
     private static final long TICK_MS = 20;
-    private static final long CONFIG_RETRY_MS = 200;
+    private static final int MAX_ROOM_ASKS = 10_000;
     private static final long DRAIN_POLL_MS = 50;
     private static final long STORE_RETRY_MS = 1_000;
     private static final int NS_PER_MS = 1_000_000;
@@ -63,10 +66,20 @@
     private final Map<String, Flight> flights = new HashMap<>();
     private final Map<String, OnceRegistry.Claim> claims = new HashMap<>();
     private final Map<String, EngineInfo> engines = new TreeMap<>();
+    private final Map<Long, String> roomAsks = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
+            return size() > MAX_ROOM_ASKS;
+        }
+    };
     private KvClient kv;
     private ConfigStore config;
     private OnceRegistry once;
-    private PeerServer peers;
+    private AgentLinks agents;
+    private OrderService orders;
+    private long nextAskId = 1;
     private HttpServer admin;
     private LeaseKeeper membership;
     private volatile boolean draining;
@@ -118,12 +131,12 @@
 
     private Future<RouterNode> startOnControl() {
         kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
-        config = ConfigStore.create(kv, c -> LOG.debugf("config revision=%d", c.revision()));
+        config = ConfigStore.create(kv, c -> scheduler.lowestRank(c.lowestRank()));
         once = OnceRegistry.create(vertx, kv, settings.onceWindowMs());
-        return loadConfig()
-                .compose(c -> PeerServer.start(vertx, settings.host(), settings.peerPort(), this))
-                .compose(p -> {
-                    peers = p;
+        return config.start(vertx)
+                .compose(c -> {
+                    agents = AgentLinks.start(vertx, kv, this, settings.routerId(), settings.enginesPerPool());
+                    orders = OrderService.create(vertx, kv, settings.routerId(), settings.orderLeaseMs());
                     return startAdmin();
                 })
                 .compose(a -> vertx.deployVerticle(
@@ -131,43 +144,29 @@
                         new DeploymentOptions().setInstances(settings.trafficThreads())))
                 .map(id -> {
                     vertx.setPeriodic(TICK_MS, t -> tick());
-                    String address = settings.advertiseHost() + ":" + peers.port();
-                    membership = LeaseKeeper.hold(
-                            vertx,
-                            kv,
-                            MEMBERS_PREFIX + settings.routerId(),
-                            address.getBytes(StandardCharsets.UTF_8),
-                            settings.leaseTtlMs(),
-                            token -> {});
+                    register();
                     LOG.infof(
-                            "router started id=%s http=%s:%d admin=%d peer=%d",
-                            settings.routerId(),
-                            settings.host(),
-                            settings.httpPort(),
-                            admin.actualPort(),
-                            peers.port());
+                            "router started id=%s http=%s:%d admin=%d",
+                            settings.routerId(), settings.host(), settings.httpPort(), admin.actualPort());
                     return this;
                 });
     }
 
-    private Future<ClusterConfig> loadConfig() {
-        Promise<ClusterConfig> loaded = Promise.promise();
-        attemptConfig(loaded, 0);
-        return loaded.future();
-    }
-
-    private void attemptConfig(Promise<ClusterConfig> loaded, int attempt) {
-        config.start().onSuccess(loaded::complete).onFailure(e -> {
-            if (attempt % 25 == 0) {
-                LOG.infof("config not loaded yet attempt=%d error=%s", attempt, e.getMessage());
-            }
-            vertx.setTimer(CONFIG_RETRY_MS, t -> attemptConfig(loaded, attempt + 1));
-        });
+    /** Makes this router visible to operators among the routers. */
+    private void register() {
+        String address = settings.advertiseHost() + ":" + settings.httpPort();
+        membership = LeaseKeeper.hold(
+                vertx,
+                kv,
+                MEMBERS_PREFIX + settings.routerId(),
+                address.getBytes(StandardCharsets.UTF_8),
+                settings.leaseTtlMs(),
+                token -> {});
     }
 
     private Future<HttpServer> startAdmin() {
         GrpcServer grpc = GrpcServer.server(vertx);
-        AdminService.mount(grpc, config, control);
+        AdminService.mount(grpc, config, orders, control);
         admin = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(true));
         return admin.requestHandler(grpc).listen(settings.adminPort(), settings.host());
     }
@@ -242,26 +241,51 @@
     }
 
     @Override
-    public void hello(PeerMessage.Hello hello) {
+    public void received(String engineId, PeerMessage.ToRouter message) {
+        switch (message) {
+            case PeerMessage.Hello h -> hello(h);
+            case PeerMessage.Load l -> execute(scheduler.engineReported(l.toReport(), nowMs()));
+            case PeerMessage.Bye b -> {
+                LOG.infof("engine leaving engine=%s", b.engineId());
+                scheduler.engineDraining(b.engineId());
+            }
+            case PeerMessage.Yield y -> makeRoom(y);
+            case PeerMessage.RoomReply r -> {
+                String requestId = roomAsks.remove(r.askId());
+                if (requestId != null) {
+                    execute(scheduler.roomAnswered(requestId, r.made(), nowMs()));
+                }
+            }
+            case PeerMessage.OrderReply o -> LOG.warnf("order reply not expected engine=%s", engineId);
+        }
+    }
+
+    private void hello(PeerMessage.Hello hello) {
         EngineInfo info = hello.engine();
-        if (!info.equals(engines.get(info.engineId()))) {
+        if (!info.equals(engines.put(info.engineId(), info))) {
             LOG.infof(
                     "engine joined engine=%s pool=%s agent=%s address=%s:%d",
                     info.engineId(), info.pool(), hello.agentId(), info.host(), info.port());
         }
-        engines.put(info.engineId(), info);
         execute(scheduler.engineJoined(info, nowMs()));
     }
 
-    @Override
-    public void load(PeerMessage.Load load) {
-        execute(scheduler.engineReported(load.toReport(), nowMs()));
+    /** Another router needs room: stops one lower-tier request of this router, if it has one there. */
+    private void makeRoom(PeerMessage.Yield y) {
+        Optional<Action> stopped = scheduler.makeRoom(y.engineId(), y.rank());
+        stopped.ifPresent(a -> execute(List.of(a)));
+        agents.send(y.engineId(), new PeerMessage.Yielded(y.turnId(), stopped.isPresent()));
     }
 
-    @Override
-    public void bye(PeerMessage.Bye bye) {
-        LOG.infof("engine leaving engine=%s", bye.engineId());
-        scheduler.engineDraining(bye.engineId());
+    private void askRoom(Action.AskRoom ask) {
+        long askId = nextAskId++;
+        PeerMessage.RoomRequest request =
+                new PeerMessage.RoomRequest(askId, ask.spec().tier().rank());
+        if (agents.send(ask.engineId(), request)) {
+            roomAsks.put(askId, ask.requestId());
+        } else {
+            execute(scheduler.roomAnswered(ask.requestId(), false, nowMs()));
+        }
     }
 
     private void execute(List<Action> actions) {
@@ -286,6 +310,7 @@
                 releaseClaim(r.requestId());
                 f.traffic().runOnContext(v -> f.dispatcher().refuse(f, r.refusal()));
             }
+            case Action.AskRoom ask -> askRoom(ask);
             case Action.Cancel c -> {
                 flights.remove(c.requestId());
                 claims.remove(c.requestId());
@@ -312,8 +337,10 @@
                 .put("kvConnected", kv.connected())
                 .put("kvCalls", kv.callCount())
                 .put("membershipHeld", membership != null && membership.held())
-                .put("peerFrames", peers == null ? 0 : peers.frames())
-                .put("peerBytes", peers == null ? 0 : peers.bytes())
+                .put("agentsKnown", agents.known())
+                .put("peerFramesIn", agents.traffic().framesIn())
+                .put("peerBytesIn", agents.traffic().bytesIn())
+                .put("peerBytesOut", agents.traffic().bytesOut())
                 .put("flights", flightStates)
                 .put("scheduler", SnapshotJson.of(scheduler.snapshot()))
                 .put("metrics", metrics.toJson());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
@@ -15,8 +15,8 @@
  * @param host address it listens on
  * @param httpPort callers' HTTP port
  * @param adminPort operators' gRPC port
- * @param peerPort agents' TCP port
- * @param advertiseHost address agents use to reach it
+ * @param enginesPerPool most engines of one pool this router follows
+ * @param advertiseHost address given in its membership, for operators
  * @param trafficThreads event loops for callers' traffic
  * @param maxBodyBytes largest request body accepted
  * @param kvHost key-value service address
@@ -24,6 +24,7 @@
  * @param kvCallTimeoutMs time a key-value call may take
  * @param leaseTtlMs time to live of the router's membership lease
  * @param drainTimeoutMs how long a planned stop waits for requests in progress
+ * @param orderLeaseMs time to live of the lease under which it gives a pool an order
  * @param onceWindowMs how long the idempotency key of a non-idempotent request is remembered
  * @param scheduler scheduler knobs
  */
@@ -33,7 +34,7 @@
         String host,
         int httpPort,
         int adminPort,
-        int peerPort,
+        int enginesPerPool,
         String advertiseHost,
         int trafficThreads,
         int maxBodyBytes,
@@ -42,6 +43,7 @@
         long kvCallTimeoutMs,
         long leaseTtlMs,
         long drainTimeoutMs,
+        long orderLeaseMs,
         long onceWindowMs,
         SchedulerSettings scheduler) {
 
@@ -54,7 +56,7 @@
                 s.text("router", "host", "127.0.0.1"),
                 s.port("router", "http_port", 8080),
                 s.port("router", "admin_port", 8081),
-                s.port("router", "peer_port", 8082),
+                (int) s.number("router", "engines_per_pool", 16, 1, 100_000),
                 s.text("router", "advertise_host", "127.0.0.1"),
                 (int) s.number("router", "traffic_threads", 2, 1, 64),
                 (int) s.number("router", "max_body_bytes", 1 << 20, 1_024, 16 << 20),
@@ -63,6 +65,7 @@
                 s.number("kv", "call_timeout_ms", 1_000, 10, 60_000),
                 s.number("kv", "lease_ttl_ms", 6_000, 500, 600_000),
                 s.number("router", "drain_timeout_ms", 30_000, 0, 3_600_000),
+                s.number("router", "order_lease_ms", 20_000, 500, 600_000),
                 s.number("router", "once_window_ms", 86_400_000, 1_000, 604_800_000),
                 new SchedulerSettings(
                         policy(s),
@@ -70,7 +73,8 @@
                         s.number("scheduler", "engine_silent_ms", defaults.engineSilentMs(), 100, 600_000),
                         s.number("scheduler", "min_retry_after_ms", defaults.minRetryAfterMs(), 0, 600_000),
                         (int) s.number("scheduler", "recent_prefixes", defaults.recentPrefixes(), 0, 1_000_000),
-                        (int) s.number("scheduler", "send_attempts", defaults.sendAttempts(), 1, 100)));
+                        (int) s.number("scheduler", "send_attempts", defaults.sendAttempts(), 1, 100),
+                        s.number("scheduler", "ask_again_ms", defaults.askAgainMs(), 1, 60_000)));
         return s.check().map(ok -> r);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/AdminClient.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/AdminClient.java
@@ -12,6 +12,8 @@
 import org.onyxhinge.api.AdminMethods;
 import org.onyxhinge.api.v1.ConfigReply;
 import org.onyxhinge.api.v1.GetConfigRequest;
+import org.onyxhinge.api.v1.OrderPoolReply;
+import org.onyxhinge.api.v1.OrderPoolRequest;
 import org.onyxhinge.api.v1.PoolSpec;
 import org.onyxhinge.api.v1.PutPoolRequest;
 import org.onyxhinge.api.v1.PutReply;
@@ -22,6 +24,7 @@
 import org.onyxhinge.api.v1.TierSpec;
 import org.onyxhinge.api.v1.Versioned;
 import org.onyxhinge.api.v1.WorkspaceSpec;
+import org.onyxhinge.core.order.OrderKind;
 
 /**
  * A client of a router's {@code onyxhinge.admin.v1.Admin} service, used by the CLI and the demo.
@@ -102,6 +105,17 @@
         };
     }
 
+    /** Gives an order to every target of a pool. */
+    public Future<OrderPoolReply> order(String pool, OrderKind kind, String argument) {
+        return call(
+                AdminMethods.ORDER_POOL_CALL,
+                OrderPoolRequest.newBuilder()
+                        .setPool(pool)
+                        .setKind(org.onyxhinge.api.v1.OrderKind.valueOf(kind.name()))
+                        .setArgument(argument)
+                        .build());
+    }
+
     private static long versionOf(ConfigReply current, Message m) {
         String key = switch (m) {
             case TierSpec t -> "config/tier/" + t.getName();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/AdminService.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/admin/AdminService.java
@@ -12,13 +12,20 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.api.AdminMethods;
 import org.onyxhinge.api.v1.ConfigReply;
+import org.onyxhinge.api.v1.OrderPoolReply;
+import org.onyxhinge.api.v1.OrderPoolRequest;
 import org.onyxhinge.api.v1.PutReply;
+import org.onyxhinge.api.v1.TargetOrderResult;
 import org.onyxhinge.api.v1.Versioned;
 import org.onyxhinge.core.model.ClusterConfig;
+import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.router.config.ConfigException;
 import org.onyxhinge.router.config.ConfigKind;
 import org.onyxhinge.router.config.ConfigStore;
 import org.onyxhinge.router.config.PutOutcome;
+import org.onyxhinge.router.order.OrderException;
+import org.onyxhinge.router.order.OrderOutcome;
+import org.onyxhinge.router.order.OrderService;
 
 /**
  * Serves {@code onyxhinge.admin.v1.Admin}: each put is checked, then written by compare-and-swap
@@ -31,16 +38,18 @@
     private static final Logger LOG = Logger.getLogger(AdminService.class);
 
     private final ConfigStore store;
+    private final OrderService orders;
     private final Context control;
 
-    private AdminService(ConfigStore store, Context control) {
+    private AdminService(ConfigStore store, OrderService orders, Context control) {
         this.store = store;
+        this.orders = orders;
         this.control = control;
     }
 
     /** Registers the service's methods on a Vert.x gRPC server. */
-    public static void mount(GrpcServer server, ConfigStore store, Context control) {
-        AdminService s = new AdminService(store, control);
+    public static void mount(GrpcServer server, ConfigStore store, OrderService orders, Context control) {
+        AdminService s = new AdminService(store, orders, control);
         server.callHandler(
                 AdminMethods.PUT_TIER,
                 req -> s.put(
@@ -82,6 +91,7 @@
                                 r.getExpectedVersion(),
                                 r.getOperationId())));
         server.callHandler(AdminMethods.GET_CONFIG, req -> req.handler(msg -> s.getConfig(req)));
+        server.callHandler(AdminMethods.ORDER_POOL, req -> req.handler(msg -> s.order(req, msg)));
     }
 
     private record Write(
@@ -107,6 +117,38 @@
         });
     }
 
+    private void order(GrpcServerRequest<OrderPoolRequest, OrderPoolReply> req, OrderPoolRequest msg) {
+        if (msg.getPool().isBlank()
+                || msg.getArgument().isBlank()
+                || msg.getKind().getNumber() < 1) {
+            req.response()
+                    .status(GrpcStatus.INVALID_ARGUMENT)
+                    .statusMessage("an order needs a pool, a kind and an argument")
+                    .end();
+            return;
+        }
+        OrderKind kind = OrderKind.valueOf(msg.getKind().name());
+        onControl(() -> orders.order(msg.getPool(), kind, msg.getArgument()))
+                .onSuccess(out -> req.response().end(orderReply(out)))
+                .onFailure(e -> req.response()
+                        .status(
+                                e instanceof OrderException o && o.isConflict()
+                                        ? GrpcStatus.ABORTED
+                                        : GrpcStatus.UNAVAILABLE)
+                        .statusMessage(e.getMessage())
+                        .end());
+    }
+
+    private static OrderPoolReply orderReply(OrderOutcome out) {
+        OrderPoolReply.Builder b = OrderPoolReply.newBuilder().setFencingToken(out.fencingToken());
+        out.targets()
+                .forEach(t -> b.addResults(TargetOrderResult.newBuilder()
+                        .setTargetId(t.targetId())
+                        .setStatus(t.status().name())
+                        .setDetail(t.detail())));
+        return b.build();
+    }
+
     private static PutReply reply(PutOutcome out) {
         return PutReply.newBuilder()
                 .setVersion(out.version())
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/cli/RouterMain.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/cli/RouterMain.java
@@ -16,7 +16,7 @@
             @Group(
                     name = "admin",
                     description = "Operators' changes through a router's gRPC admin port",
-                    commands = {AdminApplyCommand.class, AdminShowCommand.class})
+                    commands = {AdminApplyCommand.class, AdminShowCommand.class, AdminOrderCommand.class})
         })
 public final class RouterMain {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/config/ConfigStore.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/config/ConfigStore.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.model.ClusterConfig;
 import org.onyxhinge.core.model.Pool;
@@ -16,6 +17,7 @@
 import org.onyxhinge.wire.kv.KvEntry;
 import org.onyxhinge.wire.kv.KvException;
 import org.onyxhinge.wire.kv.KvMessage;
+import org.onyxhinge.wire.kv.KvMirror;
 import org.onyxhinge.wire.kv.KvStatus;
 
 /**
@@ -41,19 +43,32 @@
         this.onChange = onChange;
     }
 
-    /** Creates the store; call {@link #start()} to load and watch. */
+    /** Creates the store; call {@link #start} to load and watch. */
     public static ConfigStore create(KvClient kv, Consumer<ClusterConfig> onChange) {
         return new ConfigStore(kv, onChange);
     }
 
-    /** Loads the configuration and starts the watch; fails while the service is unreachable. */
-    public Future<ClusterConfig> start() {
-        return kv.range(ConfigKind.ROOT).map(reply -> {
-            reply.entries().forEach(this::apply);
-            publish(reply.revision());
-            kv.watch(ConfigKind.ROOT, reply.revision(), this::event);
-            return current;
-        });
+    /** Loads the configuration and follows it; completes once loaded, however long the service is away. */
+    public Future<ClusterConfig> start(Vertx vertx) {
+        return KvMirror.start(vertx, kv, ConfigKind.ROOT, new Follower()).map(revision -> current);
+    }
+
+    private final class Follower implements KvMirror.Listener {
+
+        @Override
+        public void put(KvEntry entry) {
+            apply(entry);
+        }
+
+        @Override
+        public void deleted(String key) {
+            objects.remove(key);
+        }
+
+        @Override
+        public void upTo(long revision) {
+            publish(revision);
+        }
     }
 
     /** The configuration in force. Safe from any thread. */
@@ -109,15 +124,6 @@
         return Future.failedFuture(ConfigException.conflict(key, expected, version));
     }
 
-    private void event(KvMessage.Event e) {
-        if (e.deleted()) {
-            objects.remove(e.entry().key());
-        } else {
-            apply(e.entry());
-        }
-        publish(e.revision());
-    }
-
     private void apply(KvEntry entry) {
         try {
             ConfigKind kind = ConfigKind.ofKey(entry.key());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/package-info.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/package-info.java
@@ -1,2 +1,2 @@
-/** The router's end of the agents' TCP connections: hellos, load reports and leaving notices. */
+/** Finding agents in the key-value service and keeping connections to those this router follows. */
 package org.onyxhinge.router.peer;
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -25,7 +26,8 @@
  * message) in limited memory, and publishes its load late ({@code GET /load}). Closing the connection
  * cancels a request. {@code POST /admin/slowdown?factor=F} makes it F times slower without
  * warning: its load report does not show it.
- * {@code GET /stats} gives exact counts, wasted prefill among them, for the load tool.
+ * {@code POST /admin/order} takes orders to load a model, adapter or version or to change role. {@code
+ * GET /stats} gives exact counts, wasted prefill among them, for the load tool.
  *
  * <p>Every step of {@link #STEP_MS} the batch shares the prefill budget first come first served, then
  * each sequence past prefill gets its share of decode tokens.
@@ -59,6 +61,9 @@
     private long completed;
     private long cancelled;
     private long tokensGenerated;
+    private long highestOrderToken;
+    private long ordersTaken;
+    private final Map<String, Object> inForce = new TreeMap<>();
 
     private EngineStandIn(Vertx vertx, EngineSpec spec) {
         this.vertx = vertx;
@@ -118,6 +123,8 @@
         } else if (path.equals("/stats")) {
             context.runOnContext(v ->
                     req.response().putHeader("content-type", "application/json").end(stats().encode()));
+        } else if (path.equals("/admin/order")) {
+            req.body().onSuccess(body -> context.runOnContext(v -> order(req, body.toString())));
         } else if (path.equals("/admin/slowdown")) {
             double factor = Double.parseDouble(req.getParam("factor", "1"));
             context.runOnContext(v -> {
@@ -129,6 +136,20 @@
         }
     }
 
+    /** Takes an order; refuses an old fencing token only when this engine checks them. */
+    private void order(HttpServerRequest req, String text) {
+        JsonObject order = new JsonObject(text);
+        long token = order.getLong("fencingToken", 0L);
+        if (spec.checksFencing() && token < highestOrderToken) {
+            req.response().setStatusCode(409).end("token " + token + " is older than " + highestOrderToken + "\n");
+            return;
+        }
+        highestOrderToken = Math.max(highestOrderToken, token);
+        inForce.put(order.getString("kind"), order.getString("argument"));
+        ordersTaken++;
+        req.response().end("ok\n");
+    }
+
     private void admit(HttpServerRequest req, String text) {
         JsonObject body;
         try {
@@ -270,6 +291,8 @@
                 .put("completed", completed)
                 .put("cancelled", cancelled)
                 .put("tokensGenerated", tokensGenerated)
+                .put("ordersTaken", ordersTaken)
+                .put("inForce", new JsonObject(inForce))
                 .put("running", running.size())
                 .put("waiting", waiting.size());
     }
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
@@ -29,8 +29,8 @@
 /**
  * An in-memory key-value service with compare-and-swap, leases and prefix watches, over the protocol
  * of {@link org.onyxhinge.wire.kv}. One event-loop context owns all state. It keeps a bounded history
- * so a watch made again after a reconnect replays what it missed; a watch older than the history gets
- * the keys as they are now. Faults ({@link KvFaults}) make it refuse, stall, or lose replies.
+ * so a watch made again after a reconnect replays what it missed; a watch older than the history is
+ * answered {@link KvStatus#COMPACTED}. Faults ({@link KvFaults}) make it refuse, stall, or lose replies.
  */
 public final class KvStandIn implements AutoCloseable {
 
@@ -49,6 +49,7 @@
     private final Map<String, Long> callsByType = new TreeMap<>();
     private NetServer server;
     private long revision;
+    private long compactedTo;
     private long nextLeaseId = 1;
     private KvFaults faults = KvFaults.none();
     private long timerId;
@@ -143,12 +144,15 @@
             answer(socket, new KvMessage.Reply(c.callId(), KvStatus.UNAVAILABLE, revision, List.of(), 0), false);
             return;
         }
-        long oldest = history.isEmpty() ? revision + 1 : history.peekFirst().revision();
+        if (c instanceof KvMessage.Watch w && w.fromRevision() < compactedTo) {
+            answer(socket, new KvMessage.Reply(c.callId(), KvStatus.COMPACTED, revision, List.of(), 0), false);
+            return;
+        }
         KvMessage.Reply reply = apply(socket, c);
         boolean write = c instanceof KvMessage.Put || c instanceof KvMessage.Delete;
         answer(socket, reply, write);
         if (c instanceof KvMessage.Watch w) {
-            replay(watchers.get(watchers.size() - 1), w.fromRevision(), oldest);
+            replay(watchers.get(watchers.size() - 1), w.fromRevision());
         }
     }
 
@@ -237,25 +241,27 @@
         return ok(w.callId(), List.of(), 0);
     }
 
-    private void replay(Watcher watcher, long fromRevision, long oldest) {
-        if (fromRevision + 1 >= oldest) {
-            for (KvMessage.Event e : history) {
-                if (e.revision() > fromRevision && e.entry().key().startsWith(watcher.prefix)) {
-                    watcher.send(e);
-                }
+    private void replay(Watcher watcher, long fromRevision) {
+        for (KvMessage.Event e : history) {
+            if (e.revision() > fromRevision && e.entry().key().startsWith(watcher.prefix)) {
+                watcher.send(e);
             }
-            return;
-        }
-        for (KvEntry e : data.subMap(watcher.prefix, watcher.prefix + Character.MAX_VALUE)
-                .values()) {
-            watcher.send(new KvMessage.Event(watcher.id, Math.max(e.modRevision(), fromRevision + 1), false, e));
         }
     }
 
+    /** Forgets its history, so that watches from before must read the keys again. */
+    public void compact() {
+        context.runOnContext(v -> {
+            history.clear();
+            compactedTo = revision;
+            LOG.infof("kv compacted revision=%d", revision);
+        });
+    }
+
     private void publish(KvMessage.Event e) {
         history.addLast(e);
         if (history.size() > HISTORY) {
-            history.removeFirst();
+            compactedTo = history.removeFirst().revision();
         }
         for (Watcher w : watchers) {
             if (e.entry().key().startsWith(w.prefix)) {
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/standin/KvCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/standin/KvCommand.java
@@ -12,7 +12,7 @@
 
 /**
  * {@code standin kv}: the key-value stand-in. Its control port takes {@code POST /faults?down=&delayMs=
- * &lostReplyPercent=} and serves {@code GET /stats}.
+ * &lostReplyPercent=} and {@code POST /compact}, and serves {@code GET /stats}.
  */
 @Command(name = "kv", description = "Run the key-value service stand-in")
 public final class KvCommand implements Runnable {
@@ -38,6 +38,9 @@
                         Long.parseLong(req.getParam("delayMs", "0")),
                         Integer.parseInt(req.getParam("lostReplyPercent", "0"))));
                 req.response().end("ok\n");
+            } else if (req.path().equals("/compact")) {
+                kv.compact();
+                req.response().end("ok\n");
             } else {
                 kv.stats()
                         .onSuccess(s -> req.response()
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/frame/FrameReader.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/frame/FrameReader.java
@@ -14,7 +14,8 @@
     /** The largest frame body accepted, in bytes: the key-value service's largest value plus room. */
     public static final int MAX_FRAME_BYTES = 1_100_000;
 
-    private static final int HEADER_BYTES = 4;
+    /** Length of the frame header, which holds the body's length. */
+    public static final int HEADER_BYTES = 4;
 
     private final RecordParser parser;
     private final Handler<Buffer> frames;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
@@ -31,6 +31,8 @@
     private static final Logger LOG = Logger.getLogger(KvClient.class);
     private static final long MAX_BACKOFF_MS = 2_000;
     private static final long FIRST_BACKOFF_MS = 50;
+    private static final long WATCH_RETRY_MS = 200;
+    private static final int DEAD_AFTER_TIMEOUTS = 3;
 
     private final Vertx vertx;
     private final Context context;
@@ -43,6 +45,7 @@
     private NetSocket socket;
     private long nextCallId = 1;
     private long backoffMs = FIRST_BACKOFF_MS;
+    private int timeoutsInARow;
     private long callCount;
     private boolean closed;
 
@@ -100,14 +103,11 @@
 
     /**
      * Watches a prefix from {@code fromRevision}; {@code events} runs on the client's context for every
-     * change, also those replayed after a reconnect.
+     * change, also those replayed after a reconnect. The watch is made again until the service takes it;
+     * when the service no longer has the history it needs, it ends and {@code compacted} runs.
      */
-    public void watch(String prefix, long fromRevision, Handler<KvMessage.Event> events) {
-        context.runOnContext(v -> {
-            long id = nextCallId++;
-            watches.put(id, new WatchState(prefix, fromRevision, events));
-            sendWatch(id);
-        });
+    public void watch(String prefix, long fromRevision, Handler<KvMessage.Event> events, Runnable compacted) {
+        context.runOnContext(v -> startWatch(new WatchState(prefix, fromRevision, events, compacted)));
     }
 
     /** Calls made so far, for the key-value budget figures. */
@@ -142,15 +142,26 @@
         }
         callCount++;
         pending.put(call.callId(), promise);
-        vertx.setTimer(callTimeoutMs, t -> {
-            Promise<KvMessage.Reply> p = pending.remove(call.callId());
-            if (p != null) {
-                p.fail(KvException.unavailable("no reply within " + callTimeoutMs + " ms"));
-            }
-        });
+        long timer = vertx.setTimer(callTimeoutMs, t -> timedOut(call.callId()));
+        promise.future().onComplete(r -> vertx.cancelTimer(timer));
         socket.write(FrameReader.frame(KvCodec.encode(call)));
     }
 
+    /** No reply came: the call fails, and after several in a row the connection is given up as dead. */
+    private void timedOut(long callId) {
+        Promise<KvMessage.Reply> p = pending.remove(callId);
+        if (p == null) {
+            return;
+        }
+        p.fail(KvException.unavailable("no reply within " + callTimeoutMs + " ms"));
+        timeoutsInARow++;
+        if (timeoutsInARow >= DEAD_AFTER_TIMEOUTS && socket != null) {
+            LOG.warnf("kv connection silent host=%s port=%d, reconnecting", host, port);
+            timeoutsInARow = 0;
+            socket.close();
+        }
+    }
+
     private Future<KvMessage.Reply> checkStatus(KvMessage.Reply reply) {
         if (reply.status() == KvStatus.OK) {
             return Future.succeededFuture(reply);
@@ -172,7 +183,9 @@
         backoffMs = FIRST_BACKOFF_MS;
         s.handler(FrameReader.create(this::frame, this::badFrame));
         s.closeHandler(v -> lost());
-        watches.keySet().forEach(this::sendWatch);
+        List<WatchState> again = List.copyOf(watches.values());
+        watches.clear();
+        again.forEach(this::startWatch);
         LOG.debugf("kv connected host=%s port=%d", host, port);
     }
 
@@ -195,11 +208,37 @@
         all.forEach(p -> p.tryFail(KvException.unavailable(why)));
     }
 
-    private void sendWatch(long id) {
-        WatchState w = watches.get(id);
-        if (socket != null && w != null) {
-            callCount++;
-            socket.write(FrameReader.frame(KvCodec.encode(new KvMessage.Watch(id, w.prefix, w.lastRevision))));
+    /** Makes a watch under a new id; answers and events of an earlier id are no longer heard. */
+    private void startWatch(WatchState w) {
+        long id = nextCallId++;
+        watches.put(id, w);
+        Promise<KvMessage.Reply> promise = Promise.promise();
+        promise.future().onSuccess(r -> watchAnswered(id, r.status())).onFailure(e -> retryWatch(id));
+        send(new KvMessage.Watch(id, w.prefix, w.lastRevision), promise);
+    }
+
+    private void watchAnswered(long id, KvStatus status) {
+        switch (status) {
+            case OK -> LOG.debugf("kv watch held id=%d", id);
+            case COMPACTED -> {
+                WatchState w = watches.remove(id);
+                if (w != null) {
+                    w.compacted.run();
+                }
+            }
+            default -> retryWatch(id);
+        }
+    }
+
+    /** Tries a failed watch again shortly, unless a reconnect has replaced it meanwhile. */
+    private void retryWatch(long id) {
+        if (socket != null) {
+            vertx.setTimer(WATCH_RETRY_MS, t -> {
+                WatchState w = watches.remove(id);
+                if (w != null) {
+                    startWatch(w);
+                }
+            });
         }
     }
 
@@ -219,6 +258,7 @@
     }
 
     private void reply(KvMessage.Reply r) {
+        timeoutsInARow = 0;
         Promise<KvMessage.Reply> p = pending.remove(r.callId());
         if (p != null) {
             p.tryComplete(r);
@@ -243,9 +283,11 @@
     private static final class WatchState {
         private final String prefix;
         private final Handler<KvMessage.Event> events;
+        private final Runnable compacted;
         private long lastRevision;
 
-        private WatchState(String prefix, long fromRevision, Handler<KvMessage.Event> events) {
+        private WatchState(String prefix, long fromRevision, Handler<KvMessage.Event> events, Runnable compacted) {
+            this.compacted = compacted;
             this.prefix = prefix;
             this.lastRevision = fromRevision;
             this.events = events;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStatus.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStatus.java
@@ -9,5 +9,7 @@
     /** The key or lease does not exist. */
     NOT_FOUND,
     /** The service cannot take calls now. */
-    UNAVAILABLE
+    UNAVAILABLE,
+    /** The service no longer has the history a watch needs; read the keys again. */
+    COMPACTED
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
@@ -19,34 +19,55 @@
 
     private static final Logger LOG = Logger.getLogger(LeaseKeeper.class);
     private static final int KEEP_ALIVES_PER_TTL = 3;
+    private static final int NS_PER_MS = 1_000_000;
 
     private final Vertx vertx;
     private final KvClient kv;
     private final String key;
     private final byte[] value;
     private final long ttlMs;
+    private final long expectedVersion;
     private final LongConsumer onToken;
     private long leaseId;
+    private long validUntilMs;
+    private boolean registering;
     private long fencingToken;
     private long timerId = -1;
     private boolean closed;
 
-    private LeaseKeeper(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
+    private LeaseKeeper(
+            Vertx vertx,
+            KvClient kv,
+            String key,
+            byte[] value,
+            long ttlMs,
+            long expectedVersion,
+            LongConsumer onToken) {
         this.vertx = vertx;
         this.kv = kv;
         this.key = key;
         this.value = value;
         this.ttlMs = ttlMs;
+        this.expectedVersion = expectedVersion;
         this.onToken = onToken;
     }
 
     /** Starts holding {@code key}; {@code onToken} hears each new fencing token. */
     public static LeaseKeeper hold(
             Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
-        LeaseKeeper k = new LeaseKeeper(vertx, kv, key, value, ttlMs, onToken);
-        k.register();
-        k.timerId = vertx.setPeriodic(ttlMs / KEEP_ALIVES_PER_TTL, t -> k.beat());
-        return k;
+        return new LeaseKeeper(vertx, kv, key, value, ttlMs, KvMessage.ANY, onToken).started();
+    }
+
+    /** Like {@link #hold}, but the key is taken only while nobody else holds it. */
+    public static LeaseKeeper holdAlone(
+            Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
+        return new LeaseKeeper(vertx, kv, key, value, ttlMs, KvMessage.ABSENT, onToken).started();
+    }
+
+    private LeaseKeeper started() {
+        register();
+        timerId = vertx.setPeriodic(ttlMs / KEEP_ALIVES_PER_TTL, t -> beat());
+        return this;
     }
 
     /** The current fencing token, 0 before the first write. */
@@ -54,35 +75,46 @@
         return fencingToken;
     }
 
-    /** True while a lease is believed held. */
+    /**
+     * True while the lease is certain to be held: counted from before the call that last renewed it was
+     * sent, so a holder that was paused past its lease knows at once that it may have lapsed.
+     */
     public boolean held() {
-        return leaseId != 0;
+        return leaseId != 0 && nowMs() < validUntilMs;
     }
 
     private void register() {
-        if (closed) {
+        if (closed || registering) {
             return;
         }
+        registering = true;
+        long sentAtMs = nowMs();
         kv.grant(ttlMs)
-                .compose(g -> kv.put(key, value, KvMessage.ANY, g.leaseId()).map(p -> {
-                    leaseId = g.leaseId();
-                    fencingToken = p.entries().get(0).modRevision();
-                    return p;
-                }))
-                .onSuccess(p -> {
-                    LOG.infof("lease held key=%s lease=%d fencingToken=%d", key, leaseId, fencingToken);
-                    onToken.accept(fencingToken);
-                })
+                .compose(g -> kv.put(key, value, expectedVersion, g.leaseId())
+                        .map(p -> registered(g.leaseId(), p, sentAtMs))
+                        .onFailure(e -> kv.revoke(g.leaseId())))
+                .onComplete(r -> registering = false)
                 .onFailure(e -> LOG.debugf("lease register failed key=%s error=%s", key, e.getMessage()));
     }
 
+    private KvMessage.Reply registered(long newLeaseId, KvMessage.Reply put, long sentAtMs) {
+        leaseId = newLeaseId;
+        validUntilMs = sentAtMs + ttlMs;
+        fencingToken = put.entries().get(0).modRevision();
+        LOG.infof("lease held key=%s lease=%d fencingToken=%d", key, leaseId, fencingToken);
+        onToken.accept(fencingToken);
+        return put;
+    }
+
     private void beat() {
         if (leaseId == 0) {
             register();
             return;
         }
-        kv.keepAlive(leaseId).onFailure(e -> {
-            if (e instanceof KvException k && k.status() == KvStatus.NOT_FOUND) {
+        long sentAtMs = nowMs();
+        long beating = leaseId;
+        kv.keepAlive(beating).onSuccess(r -> renewed(beating, sentAtMs)).onFailure(e -> {
+            if (beating == leaseId && e instanceof KvException k && k.status() == KvStatus.NOT_FOUND) {
                 LOG.warnf("lease lapsed key=%s lease=%d", key, leaseId);
                 leaseId = 0;
                 register();
@@ -90,6 +122,16 @@
         });
     }
 
+    private void renewed(long beaten, long sentAtMs) {
+        if (beaten == leaseId) {
+            validUntilMs = sentAtMs + ttlMs;
+        }
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NS_PER_MS;
+    }
+
     /** Ends the lease now, deleting the key, so peers see the holder leave at once. */
     public Future<Void> release() {
         closed = true;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -7,7 +7,11 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.onyxhinge.core.order.Order;
+import org.onyxhinge.core.order.OrderKind;
+import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 
@@ -20,6 +24,13 @@
     private static final int HELLO = 1;
     private static final int LOAD = 2;
     private static final int BYE = 3;
+    private static final int SUBSCRIBE = 4;
+    private static final int ROOM_REQUEST = 5;
+    private static final int YIELD = 6;
+    private static final int YIELDED = 7;
+    private static final int ROOM_REPLY = 8;
+    private static final int ORDER_REQUEST = 9;
+    private static final int ORDER_REPLY = 10;
     private static final int MAX_PREFIXES = 4_096;
 
     private PeerCodec() {}
@@ -27,44 +38,88 @@
     /** Encodes a message into a frame body. */
     public static byte[] encode(PeerMessage message) {
         try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-            switch (message) {
-                case PeerMessage.Hello h -> writeHello(p, h);
-                case PeerMessage.Load l -> writeLoad(p, l);
-                case PeerMessage.Bye b -> p.packArrayHeader(2).packInt(BYE).packString(b.engineId());
-            }
+            write(p, message);
             return p.toByteArray();
         } catch (IOException e) {
             throw new WireException("cannot encode " + message.getClass().getSimpleName(), e);
         }
     }
 
+    private static void write(MessagePacker p, PeerMessage message) throws IOException {
+        switch (message) {
+            case PeerMessage.Hello h -> writeHello(p, h);
+            case PeerMessage.Load l -> writeLoad(p, l);
+            case PeerMessage.Bye b -> head(p, BYE, 1).packString(b.engineId());
+            case PeerMessage.Subscribe s -> head(p, SUBSCRIBE, 1).packString(s.routerId());
+            case PeerMessage.RoomRequest r ->
+                head(p, ROOM_REQUEST, 2).packLong(r.askId()).packInt(r.rank());
+            case PeerMessage.Yield y ->
+                head(p, YIELD, 3).packString(y.engineId()).packLong(y.turnId()).packInt(y.rank());
+            case PeerMessage.Yielded y ->
+                head(p, YIELDED, 2).packLong(y.turnId()).packBoolean(y.made());
+            case PeerMessage.RoomReply r ->
+                head(p, ROOM_REPLY, 2).packLong(r.askId()).packBoolean(r.made());
+            case PeerMessage.OrderRequest o ->
+                head(p, ORDER_REQUEST, 4)
+                        .packLong(o.orderId())
+                        .packInt(o.order().kind().ordinal())
+                        .packString(o.order().argument())
+                        .packLong(o.order().fencingToken());
+            case PeerMessage.OrderReply o ->
+                head(p, ORDER_REPLY, 3)
+                        .packLong(o.orderId())
+                        .packInt(o.status().ordinal())
+                        .packString(o.detail());
+        }
+    }
+
+    private static MessagePacker head(MessagePacker p, int tag, int fields) throws IOException {
+        return p.packArrayHeader(fields + 1).packInt(tag);
+    }
+
     /** Decodes a frame body; throws {@link WireException} when it is not a peer message. */
     public static PeerMessage decode(byte[] body) {
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(body)) {
-            int size = u.unpackArrayHeader();
-            int tag = u.unpackInt();
-            return switch (tag) {
-                case HELLO -> readHello(u, size);
-                case LOAD -> readLoad(u, size);
-                case BYE -> new PeerMessage.Bye(u.unpackString());
-                default -> throw new WireException("unknown peer message tag " + tag);
-            };
+            int fields = u.unpackArrayHeader() - 1;
+            return read(u, u.unpackInt(), fields);
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new WireException("malformed peer message: " + e.getMessage(), e);
         }
     }
 
-    private static void writeHello(MessageBufferPacker p, PeerMessage.Hello h) throws IOException {
+    private static PeerMessage read(MessageUnpacker u, int tag, int fields) throws IOException {
+        return switch (tag) {
+            case HELLO -> readHello(u, fields);
+            case LOAD -> readLoad(u, fields);
+            case BYE -> new PeerMessage.Bye(expect(u, fields, 1).unpackString());
+            case SUBSCRIBE -> new PeerMessage.Subscribe(expect(u, fields, 1).unpackString());
+            case ROOM_REQUEST ->
+                new PeerMessage.RoomRequest(expect(u, fields, 2).unpackLong(), u.unpackInt());
+            case YIELD -> new PeerMessage.Yield(expect(u, fields, 3).unpackString(), u.unpackLong(), u.unpackInt());
+            case YIELDED -> new PeerMessage.Yielded(expect(u, fields, 2).unpackLong(), u.unpackBoolean());
+            case ROOM_REPLY -> new PeerMessage.RoomReply(expect(u, fields, 2).unpackLong(), u.unpackBoolean());
+            case ORDER_REQUEST ->
+                new PeerMessage.OrderRequest(
+                        expect(u, fields, 4).unpackLong(),
+                        new Order(constant(OrderKind.values(), u.unpackInt()), u.unpackString(), u.unpackLong()));
+            case ORDER_REPLY ->
+                new PeerMessage.OrderReply(
+                        expect(u, fields, 3).unpackLong(),
+                        constant(OrderStatus.values(), u.unpackInt()),
+                        u.unpackString());
+            default -> throw new WireException("unknown peer message tag " + tag);
+        };
+    }
+
+    private static void writeHello(MessagePacker p, PeerMessage.Hello h) throws IOException {
         EngineInfo e = h.engine();
-        p.packArrayHeader(11).packInt(HELLO).packString(h.agentId()).packString(e.engineId());
+        head(p, HELLO, 9).packString(h.agentId()).packString(e.engineId());
         p.packString(e.pool()).packString(e.host()).packInt(e.port()).packInt(e.maxBatch());
         p.packInt(e.prefillTokensPerSecond()).packInt(e.decodeTokensPerSecond()).packBoolean(e.checksFencing());
-        p.packLong(h.fencingToken());
     }
 
-    private static PeerMessage.Hello readHello(MessageUnpacker u, int size) throws IOException {
-        expect(size, 11, "hello");
-        String agentId = u.unpackString();
+    private static PeerMessage.Hello readHello(MessageUnpacker u, int fields) throws IOException {
+        String agentId = expect(u, fields, 9).unpackString();
         EngineInfo e = new EngineInfo(
                 u.unpackString(),
                 u.unpackString(),
@@ -74,15 +129,11 @@
                 u.unpackInt(),
                 u.unpackInt(),
                 u.unpackBoolean());
-        return new PeerMessage.Hello(agentId, e, u.unpackLong());
+        return new PeerMessage.Hello(agentId, e);
     }
 
-    private static void writeLoad(MessageBufferPacker p, PeerMessage.Load l) throws IOException {
-        p.packArrayHeader(7)
-                .packInt(LOAD)
-                .packString(l.engineId())
-                .packInt(l.running())
-                .packInt(l.waiting());
+    private static void writeLoad(MessagePacker p, PeerMessage.Load l) throws IOException {
+        head(p, LOAD, 6).packString(l.engineId()).packInt(l.running()).packInt(l.waiting());
         p.packArrayHeader(l.cachedPrefixes().size());
         for (long hash : l.cachedPrefixes()) {
             p.packLong(hash);
@@ -90,9 +141,8 @@
         p.packBoolean(l.draining()).packLong(l.sentAtMs());
     }
 
-    private static PeerMessage.Load readLoad(MessageUnpacker u, int size) throws IOException {
-        expect(size, 7, "load");
-        String engineId = u.unpackString();
+    private static PeerMessage.Load readLoad(MessageUnpacker u, int fields) throws IOException {
+        String engineId = expect(u, fields, 6).unpackString();
         int running = u.unpackInt();
         int waiting = u.unpackInt();
         int n = u.unpackArrayHeader();
@@ -106,9 +156,17 @@
         return new PeerMessage.Load(engineId, running, waiting, prefixes, u.unpackBoolean(), u.unpackLong());
     }
 
-    private static void expect(int size, int wanted, String what) {
-        if (size != wanted) {
-            throw new WireException(what + " message has " + size + " fields, expected " + wanted);
+    private static <T> T constant(T[] all, int ordinal) {
+        if (ordinal < 0 || ordinal >= all.length) {
+            throw new WireException("no constant " + ordinal + " among " + all.length);
+        }
+        return all[ordinal];
+    }
+
+    private static MessageUnpacker expect(MessageUnpacker u, int fields, int wanted) {
+        if (fields != wanted) {
+            throw new WireException("peer message has " + fields + " fields, expected " + wanted);
         }
+        return u;
     }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -2,20 +2,61 @@
 
 import java.util.List;
 
+import org.onyxhinge.core.order.Order;
+import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.schedule.LoadReport;
 
-/** What agents and routers send each other over a peer connection. */
+/**
+ * What routers and agents send each other. The router connects to the agent, subscribes, and from then
+ * on both may send at any time.
+ */
 public sealed interface PeerMessage {
 
+    /** What a router sends an agent. */
+    sealed interface ToAgent extends PeerMessage {}
+
+    /** What an agent sends a router. */
+    sealed interface ToRouter extends PeerMessage {}
+
+    /**
+     * The router's first message on a connection.
+     *
+     * @param routerId the router
+     */
+    record Subscribe(String routerId) implements ToAgent {}
+
+    /**
+     * The router would have to refuse a request; asks for another router's lower-tier work to be stopped.
+     *
+     * @param askId id the answer carries
+     * @param rank rank of the request's tier
+     */
+    record RoomRequest(long askId, int rank) implements ToAgent {}
+
+    /**
+     * The router's answer to {@link Yield}.
+     *
+     * @param turnId the turn's id
+     * @param made true when it stopped a request
+     */
+    record Yielded(long turnId, boolean made) implements ToAgent {}
+
     /**
-     * The agent's first message on a connection: who it is and what its engine can do.
+     * An order for the target.
+     *
+     * @param orderId id the answer carries
+     * @param order the order with its fencing token
+     */
+    record OrderRequest(long orderId, Order order) implements ToAgent {}
+
+    /**
+     * The agent's first message on a connection, sent again when the target's capacity changes.
      *
      * @param agentId the agent
      * @param engine the engine beside it
-     * @param fencingToken the agent's current fencing number, from its lease
      */
-    record Hello(String agentId, EngineInfo engine, long fencingToken) implements PeerMessage {}
+    record Hello(String agentId, EngineInfo engine) implements ToRouter {}
 
     /**
      * A load report; sent every report interval and at once when draining starts.
@@ -28,7 +69,7 @@
      * @param sentAtMs the agent's wall clock when sent, for staleness figures only
      */
     record Load(String engineId, int running, int waiting, List<Long> cachedPrefixes, boolean draining, long sentAtMs)
-            implements PeerMessage {
+            implements ToRouter {
 
         /** Copies the list. */
         public Load {
@@ -46,5 +87,31 @@
      *
      * @param engineId the engine
      */
-    record Bye(String engineId) implements PeerMessage {}
+    record Bye(String engineId) implements ToRouter {}
+
+    /**
+     * Another router needs room: stop one request on the engine of a tier below {@code rank}, if any.
+     *
+     * @param engineId the engine
+     * @param turnId id the answer carries
+     * @param rank only tiers of a higher rank number may be stopped
+     */
+    record Yield(String engineId, long turnId, int rank) implements ToRouter {}
+
+    /**
+     * The answer to {@link RoomRequest}.
+     *
+     * @param askId the request's id
+     * @param made true when another router stopped a request
+     */
+    record RoomReply(long askId, boolean made) implements ToRouter {}
+
+    /**
+     * The answer to {@link OrderRequest}.
+     *
+     * @param orderId the order's id
+     * @param status what became of it
+     * @param detail why, for operators
+     */
+    record OrderReply(long orderId, OrderStatus status, String detail) implements ToRouter {}
 }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -4,7 +4,11 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.onyxhinge.core.order.Order;
+import org.onyxhinge.core.order.OrderKind;
+import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvCodec;
@@ -45,11 +49,43 @@
         PeerMessage.Load load = new PeerMessage.Load(
                 "e1", running, waiting, prefixes.subList(0, Math.min(prefixes.size(), 50)), draining, 5);
         assertThat(PeerCodec.decode(PeerCodec.encode(load)), equalTo(load));
-        PeerMessage.Hello hello = new PeerMessage.Hello(
-                "a1", new EngineInfo("e1", "p", "127.0.0.1", 80, 8, 1_000, 50, draining), running);
+        PeerMessage.Hello hello =
+                new PeerMessage.Hello("a1", new EngineInfo("e1", "p", "127.0.0.1", 80, 8, 1_000, 50, draining));
         assertThat(PeerCodec.decode(PeerCodec.encode(hello)), equalTo(hello));
     }
 
+    @Property(tries = 500, seed = "12")
+    void questionsOrdersAndAnswersSurviveTheRoundTrip(
+            @ForAll long id,
+            @ForAll int rank,
+            @ForAll boolean made,
+            @ForAll OrderKind kind,
+            @ForAll OrderStatus status) {
+        for (PeerMessage m : List.of(
+                new PeerMessage.Subscribe("r1"),
+                new PeerMessage.Bye("e1"),
+                new PeerMessage.RoomRequest(id, rank),
+                new PeerMessage.Yield("e1", id, rank),
+                new PeerMessage.Yielded(id, made),
+                new PeerMessage.RoomReply(id, made),
+                new PeerMessage.OrderRequest(id, new Order(kind, "v2", 1 + Math.abs(rank / 2))),
+                new PeerMessage.OrderReply(id, status, "detail"))) {
+            assertThat(PeerCodec.decode(PeerCodec.encode(m)), equalTo(m));
+        }
+    }
+
+    /** Damages one byte of a valid message: closer to the decoder's inner branches than random bytes. */
+    @Property(tries = 3_000, seed = "13")
+    void aDamagedMessageRaisesOnlyTheDecodersOwnError(
+            @ForAll @IntRange(max = 100) int at, @ForAll byte damage, @ForAll OrderKind kind) {
+        byte[] order = PeerCodec.encode(new PeerMessage.OrderRequest(7, new Order(kind, "model-v2", 12)));
+        byte[] put = KvCodec.encode(new KvMessage.Put(7, "config/tier/gold", new byte[] {1, 2}, 3, 4));
+        order[at % order.length] = damage;
+        put[at % put.length] = damage;
+        peerDecoderRejectsGarbageWithItsOwnError(order);
+        kvDecoderRejectsGarbageWithItsOwnError(put);
+    }
+
     @Property(tries = 500, seed = "10")
     void kvCallsSurviveTheRoundTrip(@ForAll long callId, @ForAll String key, @ForAll long version) {
         KvMessage.Watch watch = new KvMessage.Watch(callId, key, version);
