--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -16,7 +16,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.Router;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.runtime.StatusEndpoints;
@@ -35,6 +34,7 @@
 
     private static final Logger LOG = Logger.getLogger(AgentNode.class);
     private static final long DRAIN_POLL_MS = 50;
+    private static final int NS_PER_MS = 1_000_000;
 
     private final AgentSettings settings;
     private final Vertx vertx;
@@ -48,6 +48,7 @@
     private HttpServer status;
     private EngineInfo engine;
     private JsonObject lastLoad = new JsonObject();
+    private VmState vmState;
     private long pollTimer;
     private boolean targetReachable;
     private volatile boolean draining;
@@ -83,13 +84,14 @@
         kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
         target = vertx.createHttpClient();
         orders = new AgentOrders(kv, target, settings);
-        return RouterHub.start(vertx, settings.host(), settings.peerPort(), settings.targetId(), this::hello, orders)
+        return RouterHub.start(vertx, settings.host(), settings.peerPort(), this::hello, orders)
                 .compose(hub -> {
                     routers = hub;
                     return startStatus();
                 })
                 .map(s -> {
                     pollTimer = vertx.setPeriodic(settings.reportIntervalMs(), t -> poll());
+                    vmState = VmState.follow(vertx, target, settings, this::leavingChanged);
                     register();
                     LOG.infof(
                             "agent started id=%s target=%s pool=%s status=%d peer=%d",
@@ -99,10 +101,9 @@
     }
 
     private Future<HttpServer> startStatus() {
-        Router web = Router.router(vertx);
-        StatusEndpoints.mount(
-                web, metrics, () -> onControl(() -> Future.succeededFuture(buildDump())), () -> !draining);
-        status = vertx.createHttpServer().requestHandler(web);
+        status = vertx.createHttpServer()
+                .requestHandler(StatusEndpoints.create(
+                        metrics, () -> onControl(() -> Future.succeededFuture(buildDump())), () -> !draining));
         return status.listen(settings.statusPort(), settings.host());
     }
 
@@ -118,6 +119,11 @@
                 token -> {});
     }
 
+    private void leavingChanged(boolean leaving) {
+        LOG.infof("target vm=%s leaving=%s", settings.vmId(), leaving);
+        report();
+    }
+
     private PeerMessage.Hello hello() {
         return new PeerMessage.Hello(settings.agentId(), engine);
     }
@@ -157,12 +163,10 @@
             prefixes.add(cached.getLong(i));
         }
         PeerMessage.Load load = new PeerMessage.Load(
-                settings.targetId(),
                 lastLoad.getInteger("running", 0),
                 lastLoad.getInteger("waiting", 0),
                 prefixes,
-                draining,
-                System.currentTimeMillis());
+                draining || vmState.leaving());
         routers.broadcast(load);
         metrics.meter("reports.sent").mark();
     }
@@ -175,6 +179,7 @@
                 .put("targetId", settings.targetId())
                 .put("pool", settings.pool())
                 .put("draining", draining)
+                .put("vmLeaving", vmState.leaving())
                 .put("targetReachable", targetReachable)
                 .put("lastLoad", lastLoad)
                 .put("routers", new JsonArray(List.copyOf(routers.routerIds())))
@@ -196,9 +201,9 @@
         control.runOnContext(v -> {
             draining = true;
             report();
-            routers.broadcast(new PeerMessage.Bye(settings.targetId()));
+            routers.broadcast(new PeerMessage.Bye());
             LOG.infof("agent draining id=%s", settings.agentId());
-            waitIdle(System.nanoTime() / 1_000_000 + settings.drainTimeoutMs(), done);
+            waitIdle(nowMs(), nowMs() + settings.drainTimeoutMs(), done);
         });
         return done.future()
                 .compose(v -> {
@@ -208,14 +213,22 @@
                 .eventually(() -> vertx.close());
     }
 
-    private void waitIdle(long untilMs, Promise<Void> done) {
+    /** Load is reported late, so the target counts as idle only once it has shown no work for a while. */
+    private void waitIdle(long idleSinceMs, long untilMs, Promise<Void> done) {
+        long nowMs = nowMs();
         int busy = lastLoad.getInteger("running", 0) + lastLoad.getInteger("waiting", 0);
-        if (busy == 0 || System.nanoTime() / 1_000_000 >= untilMs || !targetReachable) {
+        long since = busy == 0 ? idleSinceMs : nowMs;
+        boolean settled = nowMs - since >= settings.drainSettleMs();
+        if (settled || nowMs >= untilMs || !targetReachable) {
             LOG.infof("agent drained id=%s busy=%d", settings.agentId(), busy);
             done.complete();
             return;
         }
-        vertx.setTimer(DRAIN_POLL_MS, t -> waitIdle(untilMs, done));
+        vertx.setTimer(DRAIN_POLL_MS, t -> waitIdle(since, untilMs, done));
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NS_PER_MS;
     }
 
     @Override
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
@@ -29,7 +29,6 @@
     private static final int NS_PER_MS = 1_000_000;
 
     private final Vertx vertx;
-    private final String engineId;
     private final Supplier<PeerMessage.Hello> hello;
     private final AgentOrders orders;
     private final PeerTraffic traffic = new PeerTraffic();
@@ -38,22 +37,16 @@
     private NetServer server;
     private long roomTimer = -1;
 
-    private RouterHub(Vertx vertx, String engineId, Supplier<PeerMessage.Hello> hello, AgentOrders orders) {
+    private RouterHub(Vertx vertx, Supplier<PeerMessage.Hello> hello, AgentOrders orders) {
         this.vertx = vertx;
-        this.engineId = engineId;
         this.hello = hello;
         this.orders = orders;
     }
 
     /** Listens for routers; call on the control context. */
     static Future<RouterHub> start(
-            Vertx vertx,
-            String host,
-            int port,
-            String engineId,
-            Supplier<PeerMessage.Hello> hello,
-            AgentOrders orders) {
-        RouterHub hub = new RouterHub(vertx, engineId, hello, orders);
+            Vertx vertx, String host, int port, Supplier<PeerMessage.Hello> hello, AgentOrders orders) {
+        RouterHub hub = new RouterHub(vertx, hello, orders);
         hub.server = vertx.createNetServer().connectHandler(hub::accept);
         return hub.server.listen(port, host).map(hub);
     }
@@ -143,7 +136,7 @@
             if (to != null) {
                 to.send(
                         switch (step) {
-                            case RoomStep.AskRouter a -> new PeerMessage.Yield(engineId, a.turnId(), a.rank());
+                            case RoomStep.AskRouter a -> new PeerMessage.Yield(a.turnId(), a.rank());
                             case RoomStep.Answer a -> new PeerMessage.RoomReply(a.askId(), a.made());
                         });
             }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/EngineSlot.java
@@ -16,6 +16,9 @@
 
     private static final long MS_PER_SECOND = 1_000;
     private static final double SLOWNESS_WEIGHT = 0.3;
+    /** What a first token takes beside the engine's own work: connection, batch step, network. */
+    private static final long FIRST_TOKEN_OVERHEAD_MS = 50;
+
     private static final double MAX_SLOWNESS = 16.0;
 
     private final EngineInfo info;
@@ -27,6 +30,8 @@
     private long lastHeardAtMs;
     private int fullBelowRank = Integer.MAX_VALUE;
     private long fullUntilMs;
+    private double actualFirstTokenMs;
+    private double nominalFirstTokenMs;
     private double slowness = 1.0;
 
     EngineSlot(EngineInfo info, int prefixCapacity, long nowMs) {
@@ -52,7 +57,20 @@
     }
 
     boolean hasFreeSlot() {
-        return inFlight() < info.maxBatch();
+        return freeSlots() > 0;
+    }
+
+    int freeSlots() {
+        return Math.max(0, info.maxBatch() - inFlight());
+    }
+
+    /** This router's requests here of a tier above {@code rank}. */
+    int ownAbove(int rank) {
+        int n = 0;
+        for (Running r : running.values()) {
+            n += r.rank() < rank ? 1 : 0;
+        }
+        return n;
     }
 
     /** Requests in progress there, this router's and, as last reported, the others'. */
@@ -95,7 +113,8 @@
 
     /**
      * Notes a first token and learns from it how much slower than announced the engine is: engines
-     * slow down without saying so, and their reports are late.
+     * slow down without saying so, and their reports are late. Times are smoothed before they are
+     * compared, so long prompts, which show a slowdown best, count most.
      */
     void markFirstToken(String requestId, long nowMs) {
         Running r = running.get(requestId);
@@ -103,9 +122,10 @@
             return;
         }
         running.put(requestId, r.withFirstToken());
-        double ratio = (nowMs - r.dispatchedAtMs()) / (double) Math.max(1, r.nominalFirstTokenMs());
-        double bounded = Math.min(MAX_SLOWNESS, Math.max(1.0, ratio));
-        slowness += SLOWNESS_WEIGHT * (bounded - slowness);
+        double actualMs = Math.max(0, nowMs - r.dispatchedAtMs() - FIRST_TOKEN_OVERHEAD_MS);
+        actualFirstTokenMs += SLOWNESS_WEIGHT * (actualMs - actualFirstTokenMs);
+        nominalFirstTokenMs += SLOWNESS_WEIGHT * (r.nominalFirstTokenMs() - nominalFirstTokenMs);
+        slowness = Math.min(MAX_SLOWNESS, Math.max(1.0, actualFirstTokenMs / Math.max(1, nominalFirstTokenMs)));
     }
 
     void heard(LoadReport report, long nowMs) {
@@ -170,6 +190,21 @@
         return prefillMs(ahead + uncachedTokens(spec)) + decodeStepMs();
     }
 
+    /** The time from dispatch to the last token at the announced speed, if it uses all its tokens. */
+    long nominalServiceMs(RequestSpec spec) {
+        return nominalFirstTokenMs(spec, Set.of()) + spec.maxTokens() * MS_PER_SECOND / info.decodeTokensPerSecond();
+    }
+
+    /**
+     * When a running request is expected to end, never in the past.
+     *
+     * @param lengthFactor how much of their estimated time requests of the pool have lately taken
+     */
+    long expectedEndMs(Running r, double lengthFactor, long nowMs) {
+        long ms = (long) (r.nominalServiceMs() * slowness * lengthFactor);
+        return Math.max(nowMs + 1, r.dispatchedAtMs() + ms);
+    }
+
     /** The estimate on this engine with nothing else waiting for prefill, at the announced speed. */
     long idleEstimateMs(RequestSpec spec) {
         return prefillMs(uncachedTokens(spec)) + decodeStepMs();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.core.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -37,6 +38,7 @@
     private static final double SERVICE_EWMA_WEIGHT = 0.1;
     private static final double INITIAL_SERVICE_MS = 2_000;
     private static final long ASK_TIMEOUT_MS = 150;
+    private static final int PERCENT = 100;
     private static final int FORGET_AFTER_SILENCES = 20;
 
     private final SchedulerSettings settings;
@@ -46,6 +48,7 @@
     private final Map<String, Integer> offersByRequest = new HashMap<>();
     private final Map<String, Integer> inFlightByWorkspace = new HashMap<>();
     private final Map<String, Double> serviceMsByPool = new HashMap<>();
+    private final Map<String, Double> lengthFactorByPool = new HashMap<>();
     private final DispatchHistory dispatched = new DispatchHistory();
     private final Map<String, AskedRoom> asking = new LinkedHashMap<>();
     private int lowestRank = Integer.MAX_VALUE;
@@ -236,7 +239,7 @@
             return List.of();
         }
         forget(r.spec());
-        recordServiceTime(slot.info().pool(), nowMs - r.dispatchedAtMs());
+        recordServiceTime(slot, r, nowMs - r.dispatchedAtMs());
         return drainQueue(slot.info().pool(), nowMs);
     }
 
@@ -305,12 +308,9 @@
     }
 
     private List<Action> queueOrPreempt(RequestSpec spec, List<EngineSlot> live, long nowMs) {
-        long waitMs = queueWaitMs(spec, live);
+        long waitMs = queueWaitMs(spec, live, nowMs);
         long etaMs = waitMs
-                + live.stream()
-                        .mapToLong(s -> s.firstTokenEstimateMs(spec))
-                        .min()
-                        .orElse(0);
+                + live.stream().mapToLong(s -> s.idleEstimateMs(spec)).min().orElse(0);
         boolean roomInQueue = queues.size(spec.pool(), spec.tier().rank()) < settings.queueLimitPerTier();
         if (nowMs + etaMs <= spec.firstTokenDueAtMs() && roomInQueue) {
             queues.add(spec);
@@ -409,7 +409,8 @@
 
     private Action dispatch(RequestSpec spec, EngineSlot slot, long nowMs) {
         dispatched.record(spec.requestId());
-        slot.add(new Running(spec, slot.id(), nowMs, slot.nominalFirstTokenMs(spec, Set.of()), false));
+        slot.add(new Running(
+                spec, slot.id(), nowMs, slot.nominalFirstTokenMs(spec, Set.of()), slot.nominalServiceMs(spec), false));
         engineOfRequest.put(spec.requestId(), slot.id());
         return new Action.Dispatch(spec, slot.id());
     }
@@ -459,13 +460,32 @@
         return out;
     }
 
-    private long queueWaitMs(RequestSpec spec, List<EngineSlot> live) {
+    /**
+     * Estimates how long a request that joins the queue now waits for a slot: until as many running
+     * requests have ended as are queued ahead of it.
+     */
+    private long queueWaitMs(RequestSpec spec, List<EngineSlot> live, long nowMs) {
+        double lengthFactor = lengthFactorByPool.getOrDefault(spec.pool(), 1.0);
+        List<Long> endsAtMs = new ArrayList<>();
+        for (EngineSlot slot : live) {
+            slot.running().forEach(r -> endsAtMs.add(slot.expectedEndMs(r, lengthFactor, nowMs)));
+            for (int i = 0; i < slot.othersInFlight(); i++) {
+                endsAtMs.add(nowMs + (long) serviceMs(spec.pool()));
+            }
+        }
+        if (endsAtMs.isEmpty()) {
+            return 0;
+        }
+        Collections.sort(endsAtMs);
         int ahead = queues.sizeUpTo(spec.pool(), spec.tier().rank());
-        int slots = live.stream().mapToInt(s -> s.info().maxBatch()).sum();
-        return (long) ((ahead + 1) * serviceMs(spec.pool()) / Math.max(1, slots));
+        long rounds = ahead / endsAtMs.size();
+        return endsAtMs.get(ahead % endsAtMs.size()) - nowMs + (long) (rounds * serviceMs(spec.pool()));
     }
 
-    private static Optional<EngineSlot> fastestFree(List<EngineSlot> live, RequestSpec spec) {
+    private Optional<EngineSlot> fastestFree(List<EngineSlot> live, RequestSpec spec) {
+        if (!leavesHeadroom(live, spec)) {
+            return Optional.empty();
+        }
         EngineSlot best = null;
         long bestMs = Long.MAX_VALUE;
         for (EngineSlot s : live) {
@@ -480,6 +500,22 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * True when a lower tier may take a slot and still leave room for the usual swing in the tiers above
+     * it: about the square root of what they have running, as in square-root staffing (Halfin and Whitt,
+     * Operations Research 1981). Without it, lower-tier work is started only to be stopped again, and its
+     * prefill is wasted.
+     */
+    private boolean leavesHeadroom(List<EngineSlot> live, RequestSpec spec) {
+        int above = 0;
+        int free = 0;
+        for (EngineSlot slot : live) {
+            above += slot.ownAbove(spec.tier().rank());
+            free += slot.freeSlots();
+        }
+        return free > (int) (Math.sqrt(above) * settings.headroomPercent() / PERCENT);
+    }
+
     private EngineSlot slotOf(String requestId) {
         String engineId = engineOfRequest.get(requestId);
         return engineId == null ? null : engines.get(engineId);
@@ -501,7 +537,14 @@
         inFlightByWorkspace.computeIfPresent(spec.workspace(), (w, n) -> n <= 1 ? null : n - 1);
     }
 
-    private void recordServiceTime(String pool, long elapsedMs) {
-        serviceMsByPool.merge(pool, (double) elapsedMs, (old, now) -> old + SERVICE_EWMA_WEIGHT * (now - old));
+    private void recordServiceTime(EngineSlot slot, Running r, long elapsedMs) {
+        String pool = slot.info().pool();
+        double factor = elapsedMs / Math.max(1, r.nominalServiceMs() * slot.slowness());
+        serviceMsByPool.merge(pool, (double) elapsedMs, Scheduler::smoothed);
+        lengthFactorByPool.merge(pool, Math.min(1, factor), Scheduler::smoothed);
+    }
+
+    private static double smoothed(double old, double now) {
+        return old + SERVICE_EWMA_WEIGHT * (now - old);
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
@@ -11,6 +11,8 @@
  * @param sendAttempts how many targets a request may be offered to before it is refused as unreachable;
  *     an offer counts only while no byte of the request has been sent
  * @param askAgainMs at least 1: how long an engine whose other routers had no lower-tier work is not asked again
+ * @param headroomPercent how much room lower tiers leave for swings in higher ones, in percent of the
+ *     square root of what those have running; 0 for none
  */
 public record SchedulerSettings(
         RoutingPolicy policy,
@@ -19,7 +21,8 @@
         long minRetryAfterMs,
         int recentPrefixes,
         int sendAttempts,
-        long askAgainMs) {
+        long askAgainMs,
+        int headroomPercent) {
 
     /** Rejects an {@code askAgainMs} of 0, which would ask the same engine for ever. */
     public SchedulerSettings {
@@ -30,6 +33,6 @@
 
     /** Defaults that suit the sample workloads. */
     public static SchedulerSettings defaults() {
-        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3, 200);
+        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3, 200, 100);
     }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
@@ -83,7 +83,7 @@
         private Fleet(long seed, int routerCount, int engineCount) {
             random = new Random(seed);
             SchedulerSettings settings =
-                    new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 0, 1_000_000, 500, 64, 3, 1);
+                    new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 0, 1_000_000, 500, 64, 3, 1, 0);
             for (int i = 0; i < engineCount; i++) {
                 String id = "e" + i;
                 engines.put(id, new EngineInfo(id, "p", "h", i, 1 + random.nextInt(3), 1_000_000_000, 1_000, false));
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/schedule/SchedulerProperties.java
@@ -58,7 +58,7 @@
     private static final class Run {
         private final Random random;
         private final Scheduler scheduler = Scheduler.create(
-                new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 8, 3_000, 500, 64, 3, 1));
+                new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 8, 3_000, 500, 64, 3, 1, 100));
         private final Set<String> dispatched = new HashSet<>();
         private final Map<String, RequestSpec> running = new HashMap<>();
         private final Map<String, String> ended = new HashMap<>();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -52,6 +52,7 @@
 
     private static final Logger LOG = Logger.getLogger(RouterNode.class);
     private static final long TICK_MS = 20;
+    private static final long IDLE_TICK_MS = 1_000;
     private static final int MAX_ROOM_ASKS = 10_000;
     private static final long DRAIN_POLL_MS = 50;
     private static final long STORE_RETRY_MS = 1_000;
@@ -80,6 +81,7 @@
     private AgentLinks agents;
     private OrderService orders;
     private long nextAskId = 1;
+    private long tickTimer = -1;
     private HttpServer admin;
     private LeaseKeeper membership;
     private volatile boolean draining;
@@ -143,7 +145,7 @@
                         () -> new TrafficVerticle(this),
                         new DeploymentOptions().setInstances(settings.trafficThreads())))
                 .map(id -> {
-                    vertx.setPeriodic(TICK_MS, t -> tick());
+                    tickLater();
                     register();
                     LOG.infof(
                             "router started id=%s http=%s:%d admin=%d",
@@ -174,12 +176,32 @@
     @Override
     public void submit(Flight f) {
         control.runOnContext(v -> {
+            boolean idle = flights.isEmpty();
             flights.put(f.spec().requestId(), f);
+            if (idle) {
+                tickLater();
+            }
             if (!f.spec().nonIdempotent()) {
                 schedule(f);
                 return;
             }
-            once.claim(f.spec()).onSuccess(claim -> claimed(f, claim)).onFailure(e -> refuseUnscheduled(f, e));
+            claim(f);
+        });
+    }
+
+    /** Records a non-idempotent request; refuses it as soon as that takes longer than its tier allows. */
+    private void claim(Flight f) {
+        long leftMs = Math.max(1, f.spec().firstTokenDueAtMs() - nowMs());
+        Promise<OnceRegistry.Claim> claimed = Promise.promise();
+        long timer = vertx.setTimer(leftMs, t -> claimed.tryFail("the store did not confirm within the tier's budget"));
+        claimed.future().onSuccess(claim -> claimed(f, claim)).onFailure(e -> refuseUnscheduled(f, e));
+        once.claim(f.spec()).onComplete(result -> {
+            vertx.cancelTimer(timer);
+            boolean late =
+                    result.succeeded() ? !claimed.tryComplete(result.result()) : !claimed.tryFail(result.cause());
+            if (late && result.succeeded()) {
+                once.release(result.result());
+            }
         });
     }
 
@@ -244,12 +266,12 @@
     public void received(String engineId, PeerMessage.ToRouter message) {
         switch (message) {
             case PeerMessage.Hello h -> hello(h);
-            case PeerMessage.Load l -> execute(scheduler.engineReported(l.toReport(), nowMs()));
+            case PeerMessage.Load l -> execute(scheduler.engineReported(l.toReport(engineId), nowMs()));
             case PeerMessage.Bye b -> {
-                LOG.infof("engine leaving engine=%s", b.engineId());
-                scheduler.engineDraining(b.engineId());
+                LOG.infof("engine leaving engine=%s", engineId);
+                scheduler.engineDraining(engineId);
             }
-            case PeerMessage.Yield y -> makeRoom(y);
+            case PeerMessage.Yield y -> makeRoom(engineId, y);
             case PeerMessage.RoomReply r -> {
                 String requestId = roomAsks.remove(r.askId());
                 if (requestId != null) {
@@ -271,10 +293,10 @@
     }
 
     /** Another router needs room: stops one lower-tier request of this router, if it has one there. */
-    private void makeRoom(PeerMessage.Yield y) {
-        Optional<Action> stopped = scheduler.makeRoom(y.engineId(), y.rank());
+    private void makeRoom(String engineId, PeerMessage.Yield y) {
+        Optional<Action> stopped = scheduler.makeRoom(engineId, y.rank());
         stopped.ifPresent(a -> execute(List.of(a)));
-        agents.send(y.engineId(), new PeerMessage.Yielded(y.turnId(), stopped.isPresent()));
+        agents.send(engineId, new PeerMessage.Yielded(y.turnId(), stopped.isPresent()));
     }
 
     private void askRoom(Action.AskRoom ask) {
@@ -319,8 +341,13 @@
         }
     }
 
-    private void tick() {
-        execute(scheduler.tick(nowMs()));
+    /** Looks at queues and deadlines often while there are requests, and seldom while there are none. */
+    private void tickLater() {
+        vertx.cancelTimer(tickTimer);
+        tickTimer = vertx.setTimer(flights.isEmpty() ? IDLE_TICK_MS : TICK_MS, t -> {
+            execute(scheduler.tick(nowMs()));
+            tickLater();
+        });
     }
 
     private JsonObject buildDump() {
@@ -342,7 +369,7 @@
                 .put("peerBytesIn", agents.traffic().bytesIn())
                 .put("peerBytesOut", agents.traffic().bytesOut())
                 .put("flights", flightStates)
-                .put("scheduler", SnapshotJson.of(scheduler.snapshot()))
+                .put("scheduler", SnapshotJson.of(scheduler.snapshot(), nowMs()))
                 .put("metrics", metrics.toJson());
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterSettings.java
@@ -74,7 +74,8 @@
                         s.number("scheduler", "min_retry_after_ms", defaults.minRetryAfterMs(), 0, 600_000),
                         (int) s.number("scheduler", "recent_prefixes", defaults.recentPrefixes(), 0, 1_000_000),
                         (int) s.number("scheduler", "send_attempts", defaults.sendAttempts(), 1, 100),
-                        s.number("scheduler", "ask_again_ms", defaults.askAgainMs(), 1, 60_000)));
+                        s.number("scheduler", "ask_again_ms", defaults.askAgainMs(), 1, 60_000),
+                        (int) s.number("scheduler", "headroom_percent", defaults.headroomPercent(), 0, 1_000)));
         return s.check().map(ok -> r);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/SnapshotJson.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/SnapshotJson.java
@@ -9,7 +9,7 @@
 
     private SnapshotJson() {}
 
-    static JsonObject of(SchedulerSnapshot s) {
+    static JsonObject of(SchedulerSnapshot s, long nowMs) {
         JsonArray engines = new JsonArray();
         for (SchedulerSnapshot.Engine e : s.engines()) {
             engines.add(new JsonObject()
@@ -19,7 +19,7 @@
                     .put("othersInFlight", e.othersInFlight())
                     .put("draining", e.draining())
                     .put("slowness", e.slowness())
-                    .put("lastHeardAtMs", e.lastHeardAtMs()));
+                    .put("silentMs", nowMs - e.lastHeardAtMs()));
         }
         JsonObject queued = new JsonObject();
         s.queuedByPool().forEach(queued::put);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
@@ -39,7 +39,8 @@
                 context,
                 dispatcher,
                 new CallerApi.Parts(node, node.metrics(), node::config, node::draining, node.ids()));
-        StatusEndpoints.mount(router, node.metrics().registry(), node::dump, () -> !node.draining());
+        StatusEndpoints status = StatusEndpoints.create(node.metrics().registry(), node::dump, () -> !node.draining());
+        StatusEndpoints.PATHS.forEach(path -> router.get(path).handler(ctx -> status.handle(ctx.request())));
         HttpServer server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         return server.requestHandler(router).listen(s.httpPort(), s.host());
     }
--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ProcessUsage.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ProcessUsage.java
@@ -12,12 +12,14 @@
  *
  * @param cpuMs processor time used since the process started
  * @param residentBytes memory it occupies, from {@code /proc/self/status}; 0 where there is no such file
+ * @param privateBytes of that, memory shared with no file or process
  * @param heapBytes heap in use
  */
-public record ProcessUsage(long cpuMs, long residentBytes, long heapBytes) {
+public record ProcessUsage(long cpuMs, long residentBytes, long privateBytes, long heapBytes) {
 
     private static final Path STATUS = Path.of("/proc/self/status");
     private static final String RESIDENT = "VmRSS:";
+    private static final String PRIVATE = "RssAnon:";
     private static final long BYTES_PER_KB = 1_024;
 
     /** Reads the figures now. */
@@ -28,7 +30,8 @@
                 .totalCpuDuration()
                 .map(Duration::toMillis)
                 .orElse(0L);
-        return new ProcessUsage(cpuMs, readResidentBytes(), runtime.totalMemory() - runtime.freeMemory());
+        return new ProcessUsage(
+                cpuMs, statusBytes(RESIDENT), statusBytes(PRIVATE), runtime.totalMemory() - runtime.freeMemory());
     }
 
     /** As JSON. */
@@ -36,14 +39,15 @@
         return new JsonObject()
                 .put("cpuMs", cpuMs)
                 .put("residentBytes", residentBytes)
+                .put("privateBytes", privateBytes)
                 .put("heapBytes", heapBytes);
     }
 
-    private static long readResidentBytes() {
+    private static long statusBytes(String field) {
         try {
             for (String line : Files.readAllLines(STATUS)) {
-                if (line.startsWith(RESIDENT)) {
-                    String[] parts = line.substring(RESIDENT.length()).trim().split("\\s+");
+                if (line.startsWith(field)) {
+                    String[] parts = line.substring(field.length()).trim().split("\\s+");
                     return Long.parseLong(parts[0]) * BYTES_PER_KB;
                 }
             }
--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/StatusEndpoints.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/StatusEndpoints.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.runtime;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -8,39 +9,59 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.Router;
 
 /**
  * The status paths every onyxhinge process serves: {@code GET /healthz} (200 while it takes work,
  * 503 while draining), {@code GET /metrics} (Dropwizard metrics as JSON) and {@code GET /debug/state}
- * (the state dump).
+ * (the state dump, built each time it is asked for).
  */
-public final class StatusEndpoints {
+public final class StatusEndpoints implements Handler<HttpServerRequest> {
 
     /** Path of the state dump. */
     public static final String STATE_PATH = "/debug/state";
 
-    private StatusEndpoints() {}
+    private static final String HEALTH_PATH = "/healthz";
+    private static final String METRICS_PATH = "/metrics";
 
-    /** Adds the status paths to a Vert.x web router; {@code state} builds the dump each time it is asked for. */
-    public static void mount(
-            Router router, MetricRegistry metrics, Supplier<Future<JsonObject>> state, Supplier<Boolean> healthy) {
-        router.get("/healthz")
-                .handler(ctx -> ctx.response()
-                        .setStatusCode(healthy.get() ? 200 : 503)
-                        .end(healthy.get() ? "ok\n" : "draining\n"));
-        router.get("/metrics")
-                .handler(ctx -> ctx.response()
-                        .putHeader("content-type", "application/json")
-                        .end(toJson(metrics).encodePrettily()));
-        router.get(STATE_PATH)
-                .handler(ctx -> state.get()
-                        .onSuccess(dump -> ctx.response()
-                                .putHeader("content-type", "application/json")
-                                .end(dump.put("usage", ProcessUsage.now().toJson())
-                                        .encodePrettily()))
-                        .onFailure(ctx::fail));
+    /** Every status path. */
+    public static final List<String> PATHS = List.of(HEALTH_PATH, METRICS_PATH, STATE_PATH);
+
+    private final MetricRegistry metrics;
+    private final Supplier<Future<JsonObject>> state;
+    private final Supplier<Boolean> healthy;
+
+    private StatusEndpoints(MetricRegistry metrics, Supplier<Future<JsonObject>> state, Supplier<Boolean> healthy) {
+        this.metrics = metrics;
+        this.state = state;
+        this.healthy = healthy;
+    }
+
+    /** Creates the handler of the status paths; other paths are answered 404. */
+    public static StatusEndpoints create(
+            MetricRegistry metrics, Supplier<Future<JsonObject>> state, Supplier<Boolean> healthy) {
+        return new StatusEndpoints(metrics, state, healthy);
+    }
+
+    @Override
+    public void handle(HttpServerRequest req) {
+        switch (req.path()) {
+            case HEALTH_PATH ->
+                req.response().setStatusCode(healthy.get() ? 200 : 503).end(healthy.get() ? "ok\n" : "draining\n");
+            case METRICS_PATH -> answer(req, toJson(metrics));
+            case STATE_PATH ->
+                state.get()
+                        .onSuccess(dump ->
+                                answer(req, dump.put("usage", ProcessUsage.now().toJson())))
+                        .onFailure(e -> req.response().setStatusCode(500).end(e.getMessage() + "\n"));
+            default -> req.response().setStatusCode(404).end();
+        }
+    }
+
+    private static void answer(HttpServerRequest req, JsonObject body) {
+        req.response().putHeader("content-type", "application/json").end(body.encodePrettily());
     }
 
     /** Counters, meters and gauges of a registry as one JSON object. */
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import io.vertx.core.Context;
@@ -63,6 +65,8 @@
     private long tokensGenerated;
     private long highestOrderToken;
     private long ordersTaken;
+    private long requestsSeenTwice;
+    private final Set<String> requestIds = new HashSet<>();
     private final Map<String, Object> inForce = new TreeMap<>();
 
     private EngineStandIn(Vertx vertx, EngineSpec spec) {
@@ -163,6 +167,9 @@
         boolean hit = prompt.prefixHash() != 0 && cache.containsKey(prompt.prefixHash());
         int cachedTokens = hit ? Math.min(prompt.prefixTokens(), prompt.tokens()) : 0;
         String id = req.getHeader("x-request-id") == null ? "eng-" + System.nanoTime() : req.getHeader("x-request-id");
+        if (!requestIds.add(id)) {
+            requestsSeenTwice++;
+        }
         boolean stream = body.getBoolean("stream", false);
         Sequence s = new Sequence(id, req.response(), stream, prompt, cachedTokens, body.getInteger("max_tokens", 16));
         if (stream) {
@@ -291,6 +298,8 @@
                 .put("completed", completed)
                 .put("cancelled", cancelled)
                 .put("tokensGenerated", tokensGenerated)
+                .put("requestsSeen", requestIds.size())
+                .put("requestsSeenTwice", requestsSeenTwice)
                 .put("ordersTaken", ordersTaken)
                 .put("inForce", new JsonObject(inForce))
                 .put("running", running.size())
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
@@ -15,6 +15,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -102,11 +103,20 @@
                     .put("keys", data.size())
                     .put("leases", leases.size())
                     .put("watchers", watchers.size())
+                    .put("prefixes", prefixes())
                     .put("calls", calls));
         });
         return p.future();
     }
 
+    /** The first path elements of the keys held, each with its slash. */
+    private JsonArray prefixes() {
+        return new JsonArray(data.keySet().stream()
+                .map(k -> k.substring(0, k.indexOf('/') + 1))
+                .distinct()
+                .toList());
+    }
+
     @Override
     public void close() {
         vertx.cancelTimer(timerId);
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/service/PlainServiceStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/service/PlainServiceStandIn.java
@@ -8,12 +8,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
 /**
  * A plain service stand-in whose calls may not be repeated, such as a print instruction. {@code POST
  * /v1/calls/NAME} runs a call after {@code latencyMs} and answers one JSON body; every execution is
- * counted by the {@code Idempotency-Key} header, so {@code GET /stats} shows any key run twice.
+ * counted by the {@code Idempotency-Key} header, so {@code GET /stats} shows the keys run and any run twice.
  */
 public final class PlainServiceStandIn implements AutoCloseable {
 
@@ -78,6 +79,9 @@
         long repeated = executions.entrySet().stream()
                 .filter(e -> !e.getKey().isEmpty() && e.getValue().get() > 1)
                 .count();
-        return new JsonObject().put("executions", total.get()).put("keysRunTwice", repeated);
+        return new JsonObject()
+                .put("executions", total.get())
+                .put("keysRunTwice", repeated)
+                .put("keys", new JsonArray(executions.keySet().stream().sorted().toList()));
     }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/ToolsMain.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/ToolsMain.java
@@ -5,11 +5,14 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.tools.capacity.DecisionsCommand;
+import org.onyxhinge.tools.capacity.FootprintCommand;
 import org.onyxhinge.tools.demo.DemoCommand;
 import org.onyxhinge.tools.experiment.CompareCommand;
 import org.onyxhinge.tools.standin.EngineCommand;
 import org.onyxhinge.tools.standin.KvCommand;
 import org.onyxhinge.tools.standin.ServiceCommand;
+import org.onyxhinge.tools.standin.VmListCommand;
 
 /** Entry point of the tools: stand-ins, demo, load. Run with {@code --help} for the commands. */
 @Cli(
@@ -22,10 +25,14 @@
                     name = "load",
                     description = "Load and experiment tool",
                     commands = {CompareCommand.class}),
+            @Group(
+                    name = "capacity",
+                    description = "Measure what docs/CAPACITY.md is worked out from",
+                    commands = {DecisionsCommand.class, FootprintCommand.class}),
             @Group(
                     name = "standin",
                     description = "Run one stand-in of the platform as its own process",
-                    commands = {KvCommand.class, EngineCommand.class, ServiceCommand.class})
+                    commands = {KvCommand.class, EngineCommand.class, ServiceCommand.class, VmListCommand.class})
         })
 public final class ToolsMain {
 
--- /dev/null
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -0,0 +1,249 @@
+package org.onyxhinge.tools.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import org.onyxhinge.agent.cli.AgentMain;
+import org.onyxhinge.router.cli.RouterMain;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Logs;
+import org.onyxhinge.runtime.StatusEndpoints;
+import org.onyxhinge.tools.ToolsMain;
+import org.onyxhinge.tools.demo.Ports;
+
+/**
+ * {@code capacity footprint}: starts a small fleet of real processes on loopback, leaves it quiet, and
+ * prints what control alone takes of each router and agent: processor time, memory, peer bytes and
+ * key-value calls a second. All agents stand beside one engine stand-in. Everything is stopped at the
+ * end, and the size and time are bounded.
+ */
+@Command(name = "footprint", description = "Measure what control takes of each process in a quiet fleet")
+public final class FootprintCommand implements Runnable {
+
+    private static final int MAX_PROCESSES = 100;
+    private static final int MAX_SECONDS = 300;
+    private static final long CALL_MS = 20_000;
+    private static final long START_MS = 120_000;
+    private static final double MS_PER_SECOND = 1_000.0;
+    private static final double BYTES_PER_MB = 1 << 20;
+
+    @Option(name = "--routers", title = "N", description = "routers (default 2)")
+    private int routers = 2;
+
+    @Option(name = "--agents", title = "N", description = "agents (default 20)")
+    private int agents = 20;
+
+    @Option(name = "--pools", title = "N", description = "pools the agents are spread over (default 2)")
+    private int pools = 2;
+
+    @Option(name = "--engines-per-pool", title = "N", description = "engines of a pool a router follows (default 16)")
+    private int enginesPerPool = 16;
+
+    @Option(name = "--report-interval-ms", title = "MS", description = "the agents' report interval (default 1000)")
+    private int reportIntervalMs = 1_000;
+
+    @Option(name = "--settle-seconds", title = "N", description = "how long to wait before measuring (default 20)")
+    private int settleSeconds = 20;
+
+    @Option(name = "--seconds", title = "N", description = "how long to measure (default 20)")
+    private int seconds = 20;
+
+    private final List<Process> started = new ArrayList<>();
+    private final List<Integer> routerPorts = new ArrayList<>();
+    private final List<Integer> agentPorts = new ArrayList<>();
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient http = vertx.createHttpClient();
+    private Path dir;
+
+    /** What one process shows of itself. */
+    private record Reading(
+            long cpuMs, long residentBytes, long privateBytes, long peerBytesIn, long peerBytesOut, long kvCalls) {}
+
+    @Override
+    public void run() {
+        Logs.setUp("footprint", "SEVERE");
+        if (routers < 1
+                || agents < 1
+                || routers + agents > MAX_PROCESSES
+                || seconds < 1
+                || seconds + settleSeconds > MAX_SECONDS) {
+            Launch.fail(Launch.EXIT_USAGE, "at most " + MAX_PROCESSES + " processes and " + MAX_SECONDS + " seconds");
+            return;
+        }
+        try {
+            measure();
+        } catch (IOException | InterruptedException | IllegalStateException e) {
+            System.err.println("error: " + e.getMessage());
+        } finally {
+            started.forEach(Process::destroyForcibly);
+            vertx.close();
+        }
+    }
+
+    private void measure() throws IOException, InterruptedException {
+        dir = Files.createTempDirectory("onyxhinge-footprint");
+        startFleet();
+        Thread.sleep((long) (settleSeconds * MS_PER_SECOND));
+        List<Reading> routersBefore = read(routerPorts);
+        List<Reading> agentsBefore = read(agentPorts);
+        Thread.sleep((long) (seconds * MS_PER_SECOND));
+        System.out.printf(
+                "mean a process of %d routers, %d agents in %d pools, engines_per_pool %d, a report every %d ms, %d s%n",
+                routers, agents, pools, enginesPerPool, reportIntervalMs, seconds);
+        System.out.println("role     cpu-percent  resident-mb  private-mb  peer-in-b/s  peer-out-b/s  kv-calls/s");
+        print("router", routersBefore, read(routerPorts));
+        print("agent", agentsBefore, read(agentPorts));
+    }
+
+    private void startFleet() throws IOException, InterruptedException {
+        int kvPort = Ports.free();
+        int enginePort = Ports.free();
+        java(ToolsMain.class, "tools", "standin", "kv", "--port", "" + kvPort, "--control-port", "" + Ports.free());
+        java(ToolsMain.class, "tools", "standin", "engine", "--id", "shared", "--port", "" + enginePort);
+        for (int i = 0; i < routers; i++) {
+            int port = Ports.free();
+            routerPorts.add(port);
+            String file = write(
+                    "router-" + i,
+                    List.of(
+                            "[router]",
+                            "id = r" + i,
+                            "data_centre = local",
+                            "http_port = " + port,
+                            "admin_port = " + Ports.free(),
+                            "engines_per_pool = " + enginesPerPool,
+                            "[kv]",
+                            "port = " + kvPort,
+                            "lease_ttl_ms = 30000"));
+            java(RouterMain.class, "router", "run", "--config", file, "--log-level", "WARNING");
+        }
+        for (int i = 0; i < agents; i++) {
+            int port = Ports.free();
+            agentPorts.add(port);
+            String file = write(
+                    "agent-" + i,
+                    List.of(
+                            "[agent]",
+                            "id = a" + i,
+                            "data_centre = local",
+                            "status_port = " + port,
+                            "peer_port = " + Ports.free(),
+                            "report_interval_ms = " + reportIntervalMs,
+                            "[target]",
+                            "id = e" + i,
+                            "pool = pool" + i % pools,
+                            "port = " + enginePort,
+                            "[kv]",
+                            "port = " + kvPort,
+                            "lease_ttl_ms = 60000"));
+            java(AgentMain.class, "agent", "run", "--config", file, "--log-level", "WARNING");
+        }
+        awaitAll(routerPorts);
+        awaitAll(agentPorts);
+    }
+
+    /** Starts a binary with the flags and environment of its script in {@code bin/}. */
+    private void java(Class<?> main, String role, String... args) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        Path options = Path.of("config", "jvm-" + role + ".opts");
+        if (Files.exists(options)) {
+            command.add("@" + options);
+        }
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
+        command.addAll(List.of(args));
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(dir.resolve(started.size() + ".log").toFile());
+        builder.environment().put("MALLOC_ARENA_MAX", "1");
+        started.add(builder.start());
+    }
+
+    private void awaitAll(List<Integer> ports) throws InterruptedException {
+        long untilMs = System.currentTimeMillis() + START_MS;
+        for (int port : ports) {
+            while (!answers(port)) {
+                if (System.currentTimeMillis() > untilMs) {
+                    throw new IllegalStateException("nothing answers on port " + port);
+                }
+                Thread.sleep(100);
+            }
+        }
+    }
+
+    private boolean answers(int port) {
+        try {
+            state(port);
+            return true;
+        } catch (IllegalStateException e) {
+            return false;
+        }
+    }
+
+    private JsonObject state(int port) {
+        return Launch.await(
+                http.request(HttpMethod.GET, port, "127.0.0.1", StatusEndpoints.STATE_PATH)
+                        .compose(req -> req.send().compose(resp -> resp.body()))
+                        .map(JsonObject::new),
+                CALL_MS);
+    }
+
+    private List<Reading> read(List<Integer> ports) {
+        List<Reading> out = new ArrayList<>();
+        for (int port : ports) {
+            JsonObject s = state(port);
+            JsonObject usage = s.getJsonObject("usage");
+            out.add(new Reading(
+                    usage.getLong("cpuMs"),
+                    usage.getLong("residentBytes"),
+                    usage.getLong("privateBytes"),
+                    s.getLong("peerBytesIn"),
+                    s.getLong("peerBytesOut"),
+                    s.getLong("kvCalls")));
+        }
+        return out;
+    }
+
+    private void print(String role, List<Reading> before, List<Reading> after) {
+        double cpuMs = 0;
+        double resident = 0;
+        double privately = 0;
+        double in = 0;
+        double out = 0;
+        double calls = 0;
+        int n = before.size();
+        for (int i = 0; i < n; i++) {
+            Reading b = before.get(i);
+            Reading a = after.get(i);
+            cpuMs += a.cpuMs() - b.cpuMs();
+            resident += a.residentBytes();
+            privately += a.privateBytes();
+            in += a.peerBytesIn() - b.peerBytesIn();
+            out += a.peerBytesOut() - b.peerBytesOut();
+            calls += a.kvCalls() - b.kvCalls();
+        }
+        double perSecond = (double) n * seconds;
+        System.out.printf(
+                "%-8s %11.2f %12.1f %11.1f %12.1f %13.1f %11.3f%n",
+                role,
+                100 * cpuMs / MS_PER_SECOND / perSecond,
+                resident / n / BYTES_PER_MB,
+                privately / n / BYTES_PER_MB,
+                in / perSecond,
+                out / perSecond,
+                calls / perSecond);
+    }
+
+    private String write(String name, List<String> lines) throws IOException {
+        return Files.write(dir.resolve(name + ".ini"), lines).toString();
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
@@ -11,6 +11,7 @@
 import org.onyxhinge.agent.AgentNode;
 import org.onyxhinge.agent.AgentSettings;
 import org.onyxhinge.core.schedule.RoutingPolicy;
+import org.onyxhinge.core.schedule.SchedulerSettings;
 import org.onyxhinge.router.RouterNode;
 import org.onyxhinge.router.RouterSettings;
 import org.onyxhinge.router.admin.AdminClient;
@@ -44,12 +45,14 @@
      *
      * @param routers how many routers
      * @param policy their routing policy
+     * @param headroomPercent room lower tiers leave for higher ones, see {@code SchedulerSettings}
      */
-    public record Options(int routers, RoutingPolicy policy) {
+    public record Options(int routers, RoutingPolicy policy, int headroomPercent) {
 
         /** One router with the product's own policy. */
         public static Options defaults() {
-            return new Options(1, new RoutingPolicy.EarliestFirstToken());
+            SchedulerSettings defaults = SchedulerSettings.defaults();
+            return new Options(1, defaults.policy(), defaults.headroomPercent());
         }
     }
 
@@ -58,7 +61,7 @@
         Embedded e = new Embedded();
         e.kv = Launch.await(KvStandIn.start(e.platform, "127.0.0.1", 0, 1), START_MS);
         for (int i = 1; i <= options.routers(); i++) {
-            RouterSettings settings = routerSettings("r" + i, e.kv.port(), options.policy());
+            RouterSettings settings = routerSettings("r" + i, e.kv.port(), options);
             e.routers.add(Launch.await(RouterNode.start(settings), START_MS));
         }
         for (Target t : targets) {
@@ -130,7 +133,7 @@
                 .size();
     }
 
-    private static RouterSettings routerSettings(String id, int kvPort, RoutingPolicy policy) {
+    private static RouterSettings routerSettings(String id, int kvPort, Options options) {
         String text = String.join(
                 "\n",
                 "[router]",
@@ -142,7 +145,8 @@
                 "[kv]",
                 "port = " + kvPort,
                 "[scheduler]",
-                "policy = " + policy.settingName(),
+                "policy = " + options.policy().settingName(),
+                "headroom_percent = " + options.headroomPercent(),
                 "engine_silent_ms = 2000");
         return Settings.fromText("embedded router", text)
                 .flatMap(RouterSettings::from)
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/CompareCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/CompareCommand.java
@@ -12,6 +12,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.google.protobuf.Message;
 import org.onyxhinge.core.schedule.RoutingPolicy;
+import org.onyxhinge.core.schedule.SchedulerSettings;
 import org.onyxhinge.router.admin.SetupFile;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Logs;
@@ -57,6 +58,9 @@
     @Option(name = "--routers", title = "N", description = "routers of the site (default 1)")
     private int routers = 1;
 
+    @Option(name = "--headroom", title = "PERCENT", description = "headroom_percent of the routers (default 100)")
+    private int headroomPercent = SchedulerSettings.defaults().headroomPercent();
+
     @Option(name = "--seed", title = "N", description = "seed of the workload (default 7)")
     private long seed = 7;
 
@@ -79,6 +83,7 @@
                     setup,
                     Workload.read(dir.resolve("workload.jsonl")),
                     within("--routers", routers, MAX_ROUTERS),
+                    headroomPercent,
                     within("--seconds", seconds, MAX_SECONDS),
                     seed);
             report(comparison.run(cells()));
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/Comparison.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/Comparison.java
@@ -23,11 +23,18 @@
  * @param setup its configuration
  * @param sample the workload requests are drawn from
  * @param routers how many routers the site has
+ * @param headroomPercent room lower tiers leave for higher ones
  * @param seconds length of one run
  * @param seed seed of the workload
  */
 record Comparison(
-        List<Target> targets, List<Message> setup, List<WorkItem> sample, int routers, int seconds, long seed) {
+        List<Target> targets,
+        List<Message> setup,
+        List<WorkItem> sample,
+        int routers,
+        int headroomPercent,
+        int seconds,
+        long seed) {
 
     private static final long ANSWER_TIMEOUT_MS = 60_000;
     private static final long RUN_TIMEOUT_MS = 600_000;
@@ -37,7 +44,8 @@
     CellResult run(Cell cell) {
         double rate = LoadGenerator.capacityPerSecond(targets, sample) * cell.loadFactor();
         List<WorkItem> items = LoadGenerator.draw(sample, rate, cell.scenario(), seconds, seed);
-        try (Embedded site = Embedded.start(targets, setup, new Embedded.Options(routers, cell.policy()));
+        try (Embedded site =
+                        Embedded.start(targets, setup, new Embedded.Options(routers, cell.policy(), headroomPercent));
                 Driver driver = Driver.balanced(site.platform(), "127.0.0.1", site.httpPorts(), ANSWER_TIMEOUT_MS)) {
             if (cell.scenario() == Scenario.SLOWDOWN) {
                 slowDown(site);
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/standin/EngineCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/standin/EngineCommand.java
@@ -35,11 +35,14 @@
     @Option(name = "--load-lag-ms", description = "age of the published load (default 200)")
     private long loadLagMs = 200;
 
+    @Option(name = "--checks-fencing", description = "refuse orders with an old fencing token (default: ignore it)")
+    private boolean checksFencing;
+
     @Override
     public void run() {
         Logs.setUp("engine-" + id, "INFO");
         Vertx vertx = Vertx.vertx();
-        EngineSpec spec = new EngineSpec(id, maxBatch, prefill, decode, cache, loadLagMs, false);
+        EngineSpec spec = new EngineSpec(id, maxBatch, prefill, decode, cache, loadLagMs, checksFencing);
         EngineStandIn e = Launch.await(EngineStandIn.start(vertx, "127.0.0.1", port, spec), 10_000);
         System.out.println("engine stand-in " + id + " listening port=" + e.port());
         Launch.runUntilStopped(vertx::close, 5_000);
--- /dev/null
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/standin/VmListCommand.java
@@ -0,0 +1,28 @@
+package org.onyxhinge.tools.standin;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import io.vertx.core.Vertx;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Logs;
+import org.onyxhinge.standins.vmlist.VmListStandIn;
+
+/** {@code standin vmlist}: the platform's lagging list of VMs. */
+@Command(name = "vmlist", description = "Run the VM list stand-in")
+public final class VmListCommand implements Runnable {
+
+    @Option(name = "--port", description = "HTTP port (default 8500)")
+    private int port = 8500;
+
+    @Option(name = "--lag-ms", description = "how late a change shows (default 1000)")
+    private long lagMs = 1_000;
+
+    @Override
+    public void run() {
+        Logs.setUp("vmlist-standin", "INFO");
+        Vertx vertx = Vertx.vertx();
+        VmListStandIn list = Launch.await(VmListStandIn.start(vertx, "127.0.0.1", port, lagMs), 10_000);
+        System.out.println("VM list stand-in listening port=" + list.port());
+        Launch.runUntilStopped(vertx::close, 5_000);
+    }
+}
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/Processes.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/Processes.java
@@ -6,15 +6,16 @@
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
 
-/** Starts onyxhinge's processes as separate JVMs for tests, and stops them with SIGTERM. */
+/** Starts onyxhinge's processes as separate JVMs for tests, signals them, and kills them at the end. */
 final class Processes implements AutoCloseable {
 
     private static final long START_MS = 60_000;
 
-    private final List<Process> started = new ArrayList<>();
+    private final Map<String, Process> started = new LinkedHashMap<>();
     private final Path logs;
 
     Processes(Path logs) {
@@ -33,9 +34,9 @@
         File log = logs.resolve(name + ".log").toFile();
         Process p = new ProcessBuilder(cmd)
                 .redirectErrorStream(true)
-                .redirectOutput(log)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
                 .start();
-        started.add(p);
+        started.put(name, p);
         return p;
     }
 
@@ -52,14 +53,24 @@
         throw new IllegalStateException("nothing listens on port " + port);
     }
 
+    Process get(String name) {
+        return started.get(name);
+    }
+
+    /** Sends a signal by name, for example STOP. */
+    void signal(String name, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, "" + started.get(name).pid())
+                .start()
+                .waitFor();
+    }
+
     @Override
     public void close() throws InterruptedException {
-        for (int i = started.size() - 1; i >= 0; i--) {
-            Process p = started.get(i);
-            p.destroy();
-            if (!p.waitFor(20, TimeUnit.SECONDS)) {
-                p.destroyForcibly();
-            }
+        for (Process p : started.values()) {
+            p.destroyForcibly();
+        }
+        for (Process p : started.values()) {
+            p.waitFor();
         }
     }
 }
--- /dev/null
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -0,0 +1,261 @@
+package org.onyxhinge.tools;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.Message;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.onyxhinge.agent.cli.AgentMain;
+import org.onyxhinge.router.admin.AdminClient;
+import org.onyxhinge.router.admin.SetupFile;
+import org.onyxhinge.router.cli.RouterMain;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Settings;
+import org.onyxhinge.tools.demo.Ports;
+import org.onyxhinge.tools.load.Driver;
+
+/**
+ * A small site for tests: the stand-ins, routers and agents each as a separate JVM on loopback, with
+ * ways to break them. Configured like Póstvirki.
+ */
+final class TestSite implements AutoCloseable {
+
+    static final long CALL_MS = 30_000;
+    private static final long WAIT_MS = 60_000;
+    private static final long POLL_MS = 20;
+
+    private final Path dir;
+    private final Processes processes;
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient http = vertx.createHttpClient();
+    private final int kvPort = Ports.free();
+    private final int kvControlPort = Ports.free();
+    private final Map<String, Integer> targetPorts = new HashMap<>();
+    private final Map<String, Integer> httpPorts = new HashMap<>();
+    private final Map<String, Integer> adminPorts = new HashMap<>();
+    private final Map<String, Integer> statusPorts = new HashMap<>();
+
+    private TestSite(Path dir) {
+        this.dir = dir;
+        this.processes = new Processes(dir);
+    }
+
+    /** A site with its key-value stand-in running and nothing else. */
+    static TestSite start(String name) throws IOException, InterruptedException {
+        TestSite site = new TestSite(Files.createDirectories(Path.of("target", "sites", name)));
+        site.tools("kv", "kv", "--port", "" + site.kvPort, "--control-port", "" + site.kvControlPort);
+        Processes.awaitPort(site.kvPort);
+        Processes.awaitPort(site.kvControlPort);
+        return site;
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    TestSite engine(String id, String... options) throws IOException {
+        targetPorts.put(id, Ports.free());
+        List<String> args = new ArrayList<>(List.of("engine", "--id", id, "--port", "" + targetPorts.get(id)));
+        args.addAll(Arrays.asList(options));
+        tools(id, args.toArray(String[]::new));
+        return agent(id, "drafting");
+    }
+
+    TestSite service(String id, int latencyMs) throws IOException {
+        targetPorts.put(id, Ports.free());
+        tools(id, "service", "--port", "" + targetPorts.get(id), "--latency-ms", "" + latencyMs);
+        return agent(id, "print-house");
+    }
+
+    /** A router; {@code lines} are added at the end of its settings. */
+    TestSite router(String id, String... lines) throws IOException {
+        httpPorts.put(id, Ports.free());
+        adminPorts.put(id, Ports.free());
+        List<String> ini = new ArrayList<>(List.of(
+                "[router]",
+                "id = " + id,
+                "data_centre = test",
+                "http_port = " + httpPorts.get(id),
+                "admin_port = " + adminPorts.get(id),
+                "drain_timeout_ms = 20000",
+                "order_lease_ms = 1500",
+                "[kv]",
+                "port = " + kvPort,
+                "call_timeout_ms = 2000",
+                "lease_ttl_ms = 1500",
+                "[scheduler]",
+                "engine_silent_ms = 1500"));
+        ini.addAll(Arrays.asList(lines));
+        processes.java(id, RouterMain.class, "run", "--config", write(id + ".ini", ini));
+        return this;
+    }
+
+    /** Starts the agent of a target, again when it was killed; {@code lines} are added to its settings. */
+    TestSite agent(String targetId, String pool, String... lines) throws IOException {
+        statusPorts.put("agent-" + targetId, Ports.free());
+        List<String> ini = new ArrayList<>(List.of(
+                "[agent]",
+                "id = agent-" + targetId,
+                "data_centre = test",
+                "status_port = " + statusPorts.get("agent-" + targetId),
+                "peer_port = " + Ports.free(),
+                "report_interval_ms = 100",
+                "drain_timeout_ms = 20000",
+                "drain_settle_ms = 500",
+                "[target]",
+                "id = " + targetId,
+                "pool = " + pool,
+                "port = " + targetPorts.get(targetId),
+                "[kv]",
+                "port = " + kvPort,
+                "lease_ttl_ms = 1500"));
+        ini.addAll(Arrays.asList(lines));
+        processes.java(
+                "agent-" + targetId, AgentMain.class, "run", "--config", write("agent-" + targetId + ".ini", ini));
+        return this;
+    }
+
+    /** A VM list that shows changes after {@code lagMs}; answers its port. */
+    int vmList(long lagMs) throws IOException, InterruptedException {
+        int port = Ports.free();
+        tools("vmlist", "vmlist", "--port", "" + port, "--lag-ms", "" + lagMs);
+        Processes.awaitPort(port);
+        return port;
+    }
+
+    /** Applies the Póstvirki setup through a router and waits until every router sees {@code targets} targets. */
+    TestSite ready(int targets) throws InterruptedException {
+        for (int port : adminPorts.values()) {
+            Processes.awaitPort(port);
+        }
+        List<Message> setup = Settings.load(Path.of("../examples/postvirki/setup.ini"))
+                .flatMap(SetupFile::read)
+                .get();
+        try (AdminClient admin = admin(adminPorts.keySet().iterator().next())) {
+            Launch.await(admin.apply(setup), CALL_MS);
+        }
+        for (int port : httpPorts.values()) {
+            Processes.awaitPort(port);
+        }
+        for (String router : httpPorts.keySet()) {
+            await(
+                    router + " sees " + targets + " targets",
+                    () -> engines(router).size() >= targets);
+        }
+        return this;
+    }
+
+    AdminClient admin(String router) {
+        return AdminClient.create(vertx, "127.0.0.1", adminPorts.get(router));
+    }
+
+    Driver driver(String... routers) {
+        List<Integer> ports = Arrays.stream(routers).map(httpPorts::get).toList();
+        return Driver.balanced(vertx, "127.0.0.1", ports, CALL_MS);
+    }
+
+    /** The state dump of a router or agent. */
+    JsonObject state(String process) {
+        Integer port = httpPorts.containsKey(process) ? httpPorts.get(process) : statusPorts.get(process);
+        return get(port, "/debug/state");
+    }
+
+    JsonArray engines(String router) {
+        return state(router).getJsonObject("scheduler").getJsonArray("engines", new JsonArray());
+    }
+
+    /** Exact counts of an engine or service stand-in. */
+    JsonObject stats(String target) {
+        return get(targetPorts.get(target), "/stats");
+    }
+
+    JsonObject kvStats() {
+        return get(kvControlPort, "/stats");
+    }
+
+    void kvFaults(boolean down, long delayMs, int lostReplyPercent) {
+        post(kvControlPort, "/faults?down=" + down + "&delayMs=" + delayMs + "&lostReplyPercent=" + lostReplyPercent);
+    }
+
+    void kvCompact() {
+        post(kvControlPort, "/compact");
+    }
+
+    JsonObject get(int port, String path) {
+        return Launch.await(
+                http.request(HttpMethod.GET, port, "127.0.0.1", path)
+                        .compose(req -> req.send().compose(resp -> resp.body()))
+                        .map(b -> new JsonObject(b.toString())),
+                CALL_MS);
+    }
+
+    void post(int port, String path) {
+        Launch.await(
+                http.request(HttpMethod.POST, port, "127.0.0.1", path)
+                        .compose(req -> req.send().compose(resp -> resp.body())),
+                CALL_MS);
+    }
+
+    /** {@code kill -9}: the process is gone at once. */
+    void kill(String name) throws InterruptedException {
+        processes.get(name).destroyForcibly().waitFor();
+    }
+
+    /** SIGTERM: a planned stop; does not wait. */
+    Process terminate(String name) {
+        Process p = processes.get(name);
+        p.destroy();
+        return p;
+    }
+
+    /** SIGSTOP: the process is paused and does not know it. */
+    void pause(String name) throws IOException, InterruptedException {
+        processes.signal(name, "STOP");
+    }
+
+    /** SIGCONT: the process goes on. */
+    void resume(String name) throws IOException, InterruptedException {
+        processes.signal(name, "CONT");
+    }
+
+    /** Waits for a condition, however slow the machine; fails with its name after a minute. */
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long untilMs = System.currentTimeMillis() + WAIT_MS;
+        while (!condition.getAsBoolean()) {
+            if (System.currentTimeMillis() > untilMs) {
+                throw new AssertionError("did not happen: " + what);
+            }
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    private void tools(String name, String... args) throws IOException {
+        List<String> all = new ArrayList<>(List.of("standin"));
+        all.addAll(Arrays.asList(args));
+        processes.java(name, ToolsMain.class, all.toArray(String[]::new));
+    }
+
+    private String write(String name, List<String> lines) throws IOException {
+        Path file = dir.resolve(name);
+        Files.write(file, lines, StandardCharsets.UTF_8);
+        return file.toString();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        processes.close();
+        Launch.await(vertx.close(), CALL_MS);
+    }
+}
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
@@ -18,6 +18,7 @@
 public final class LeaseKeeper implements AutoCloseable {
 
     private static final Logger LOG = Logger.getLogger(LeaseKeeper.class);
+    private static final long FIRST_RETRY_MS = 50;
     private static final int KEEP_ALIVES_PER_TTL = 3;
     private static final int NS_PER_MS = 1_000_000;
 
@@ -26,42 +27,28 @@
     private final String key;
     private final byte[] value;
     private final long ttlMs;
-    private final long expectedVersion;
     private final LongConsumer onToken;
     private long leaseId;
     private long validUntilMs;
     private boolean registering;
+    private long retryMs = FIRST_RETRY_MS;
     private long fencingToken;
     private long timerId = -1;
     private boolean closed;
 
-    private LeaseKeeper(
-            Vertx vertx,
-            KvClient kv,
-            String key,
-            byte[] value,
-            long ttlMs,
-            long expectedVersion,
-            LongConsumer onToken) {
+    private LeaseKeeper(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
         this.vertx = vertx;
         this.kv = kv;
         this.key = key;
         this.value = value;
         this.ttlMs = ttlMs;
-        this.expectedVersion = expectedVersion;
         this.onToken = onToken;
     }
 
     /** Starts holding {@code key}; {@code onToken} hears each new fencing token. */
     public static LeaseKeeper hold(
             Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
-        return new LeaseKeeper(vertx, kv, key, value, ttlMs, KvMessage.ANY, onToken).started();
-    }
-
-    /** Like {@link #hold}, but the key is taken only while nobody else holds it. */
-    public static LeaseKeeper holdAlone(
-            Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
-        return new LeaseKeeper(vertx, kv, key, value, ttlMs, KvMessage.ABSENT, onToken).started();
+        return new LeaseKeeper(vertx, kv, key, value, ttlMs, onToken).started();
     }
 
     private LeaseKeeper started() {
@@ -90,11 +77,20 @@
         registering = true;
         long sentAtMs = nowMs();
         kv.grant(ttlMs)
-                .compose(g -> kv.put(key, value, expectedVersion, g.leaseId())
+                .compose(g -> kv.put(key, value, KvMessage.ANY, g.leaseId())
                         .map(p -> registered(g.leaseId(), p, sentAtMs))
                         .onFailure(e -> kv.revoke(g.leaseId())))
                 .onComplete(r -> registering = false)
-                .onFailure(e -> LOG.debugf("lease register failed key=%s error=%s", key, e.getMessage()));
+                .onSuccess(p -> retryMs = FIRST_RETRY_MS)
+                .onFailure(e -> registerLater(e.getMessage()));
+    }
+
+    private void registerLater(String why) {
+        LOG.debugf("lease register failed key=%s retryMs=%d error=%s", key, retryMs, why);
+        if (!closed) {
+            vertx.setTimer(retryMs, t -> register());
+            retryMs = Math.min(retryMs * 2, ttlMs / KEEP_ALIVES_PER_TTL);
+        }
     }
 
     private KvMessage.Reply registered(long newLeaseId, KvMessage.Reply put, long sentAtMs) {
@@ -108,7 +104,6 @@
 
     private void beat() {
         if (leaseId == 0) {
-            register();
             return;
         }
         long sentAtMs = nowMs();
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -49,12 +49,11 @@
         switch (message) {
             case PeerMessage.Hello h -> writeHello(p, h);
             case PeerMessage.Load l -> writeLoad(p, l);
-            case PeerMessage.Bye b -> head(p, BYE, 1).packString(b.engineId());
+            case PeerMessage.Bye b -> head(p, BYE, 0);
             case PeerMessage.Subscribe s -> head(p, SUBSCRIBE, 1).packString(s.routerId());
             case PeerMessage.RoomRequest r ->
                 head(p, ROOM_REQUEST, 2).packLong(r.askId()).packInt(r.rank());
-            case PeerMessage.Yield y ->
-                head(p, YIELD, 3).packString(y.engineId()).packLong(y.turnId()).packInt(y.rank());
+            case PeerMessage.Yield y -> head(p, YIELD, 2).packLong(y.turnId()).packInt(y.rank());
             case PeerMessage.Yielded y ->
                 head(p, YIELDED, 2).packLong(y.turnId()).packBoolean(y.made());
             case PeerMessage.RoomReply r ->
@@ -91,11 +90,14 @@
         return switch (tag) {
             case HELLO -> readHello(u, fields);
             case LOAD -> readLoad(u, fields);
-            case BYE -> new PeerMessage.Bye(expect(u, fields, 1).unpackString());
+            case BYE -> {
+                expect(u, fields, 0);
+                yield new PeerMessage.Bye();
+            }
             case SUBSCRIBE -> new PeerMessage.Subscribe(expect(u, fields, 1).unpackString());
             case ROOM_REQUEST ->
                 new PeerMessage.RoomRequest(expect(u, fields, 2).unpackLong(), u.unpackInt());
-            case YIELD -> new PeerMessage.Yield(expect(u, fields, 3).unpackString(), u.unpackLong(), u.unpackInt());
+            case YIELD -> new PeerMessage.Yield(expect(u, fields, 2).unpackLong(), u.unpackInt());
             case YIELDED -> new PeerMessage.Yielded(expect(u, fields, 2).unpackLong(), u.unpackBoolean());
             case ROOM_REPLY -> new PeerMessage.RoomReply(expect(u, fields, 2).unpackLong(), u.unpackBoolean());
             case ORDER_REQUEST ->
@@ -133,17 +135,16 @@
     }
 
     private static void writeLoad(MessagePacker p, PeerMessage.Load l) throws IOException {
-        head(p, LOAD, 6).packString(l.engineId()).packInt(l.running()).packInt(l.waiting());
+        head(p, LOAD, 4).packInt(l.running()).packInt(l.waiting());
         p.packArrayHeader(l.cachedPrefixes().size());
         for (long hash : l.cachedPrefixes()) {
             p.packLong(hash);
         }
-        p.packBoolean(l.draining()).packLong(l.sentAtMs());
+        p.packBoolean(l.draining());
     }
 
     private static PeerMessage.Load readLoad(MessageUnpacker u, int fields) throws IOException {
-        String engineId = expect(u, fields, 6).unpackString();
-        int running = u.unpackInt();
+        int running = expect(u, fields, 4).unpackInt();
         int waiting = u.unpackInt();
         int n = u.unpackArrayHeader();
         if (n > MAX_PREFIXES) {
@@ -153,7 +154,7 @@
         for (int i = 0; i < n; i++) {
             prefixes.add(u.unpackLong());
         }
-        return new PeerMessage.Load(engineId, running, waiting, prefixes, u.unpackBoolean(), u.unpackLong());
+        return new PeerMessage.Load(running, waiting, prefixes, u.unpackBoolean());
     }
 
     private static <T> T constant(T[] all, int ordinal) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -9,7 +9,8 @@
 
 /**
  * What routers and agents send each other. The router connects to the agent, subscribes, and from then
- * on both may send at any time.
+ * on both may send at any time. A connection is about the one engine beside its agent, so only the
+ * hello names it.
  */
 public sealed interface PeerMessage {
 
@@ -61,42 +62,34 @@
     /**
      * A load report; sent every report interval and at once when draining starts.
      *
-     * @param engineId the engine
      * @param running sequences running on it
      * @param waiting sequences in its own queue
      * @param cachedPrefixes prefix hashes cached since the last report
      * @param draining true once the target is leaving
-     * @param sentAtMs the agent's wall clock when sent, for staleness figures only
      */
-    record Load(String engineId, int running, int waiting, List<Long> cachedPrefixes, boolean draining, long sentAtMs)
-            implements ToRouter {
+    record Load(int running, int waiting, List<Long> cachedPrefixes, boolean draining) implements ToRouter {
 
         /** Copies the list. */
         public Load {
             cachedPrefixes = List.copyOf(cachedPrefixes);
         }
 
-        /** The core's view of this report. */
-        public LoadReport toReport() {
+        /** The core's view of this report from the agent of {@code engineId}. */
+        public LoadReport toReport(String engineId) {
             return new LoadReport(engineId, running, waiting, cachedPrefixes, draining);
         }
     }
 
-    /**
-     * The agent is going away on purpose; its engine takes no new work.
-     *
-     * @param engineId the engine
-     */
-    record Bye(String engineId) implements ToRouter {}
+    /** The agent is going away on purpose; its engine takes no new work. */
+    record Bye() implements ToRouter {}
 
     /**
      * Another router needs room: stop one request on the engine of a tier below {@code rank}, if any.
      *
-     * @param engineId the engine
      * @param turnId id the answer carries
      * @param rank only tiers of a higher rank number may be stopped
      */
-    record Yield(String engineId, long turnId, int rank) implements ToRouter {}
+    record Yield(long turnId, int rank) implements ToRouter {}
 
     /**
      * The answer to {@link RoomRequest}.
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -46,8 +46,8 @@
     @Property(tries = 500, seed = "9")
     void peerMessagesSurviveTheRoundTrip(
             @ForAll int running, @ForAll int waiting, @ForAll List<Long> prefixes, @ForAll boolean draining) {
-        PeerMessage.Load load = new PeerMessage.Load(
-                "e1", running, waiting, prefixes.subList(0, Math.min(prefixes.size(), 50)), draining, 5);
+        PeerMessage.Load load =
+                new PeerMessage.Load(running, waiting, prefixes.subList(0, Math.min(prefixes.size(), 50)), draining);
         assertThat(PeerCodec.decode(PeerCodec.encode(load)), equalTo(load));
         PeerMessage.Hello hello =
                 new PeerMessage.Hello("a1", new EngineInfo("e1", "p", "127.0.0.1", 80, 8, 1_000, 50, draining));
@@ -63,9 +63,9 @@
             @ForAll OrderStatus status) {
         for (PeerMessage m : List.of(
                 new PeerMessage.Subscribe("r1"),
-                new PeerMessage.Bye("e1"),
+                new PeerMessage.Bye(),
                 new PeerMessage.RoomRequest(id, rank),
-                new PeerMessage.Yield("e1", id, rank),
+                new PeerMessage.Yield(id, rank),
                 new PeerMessage.Yielded(id, made),
                 new PeerMessage.RoomReply(id, made),
                 new PeerMessage.OrderRequest(id, new Order(kind, "v2", 1 + Math.abs(rank / 2))),
