--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -97,7 +97,7 @@
         List<Reading> agentsBefore = read(agentPorts);
         Thread.sleep((long) (seconds * MS_PER_SECOND));
         System.out.printf(
-                "mean a process of %d routers, %d agents in %d pools, engines_per_pool %d, a report every %d ms, %d s%n",
+                "mean of %d routers, %d agents in %d pools, engines_per_pool %d, reports every %d ms, %d s%n",
                 routers, agents, pools, enginesPerPool, reportIntervalMs, seconds);
         System.out.println("role     cpu-percent  resident-mb  private-mb  peer-in-b/s  peer-out-b/s  kv-calls/s");
         print("router", routersBefore, read(routerPorts));
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Driver.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/load/Driver.java
@@ -122,7 +122,10 @@
         }
         Stream s = new Stream(item, startNs, resp.getHeader("x-request-id"));
         resp.handler(RecordParser.newDelimited("\n\n", ev -> s.event(ev.toString())));
-        resp.exceptionHandler(e -> done.tryComplete(s.outcome(false)));
+        resp.exceptionHandler(e -> {
+            s.errorType = "transport: " + e.getMessage();
+            done.tryComplete(s.outcome(false));
+        });
         resp.endHandler(v -> done.tryComplete(s.outcome(s.done && s.errorType.isEmpty())));
     }
 
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/Processes.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/Processes.java
@@ -53,6 +53,10 @@
         throw new IllegalStateException("nothing listens on port " + port);
     }
 
+    boolean alive(String name) {
+        return started.containsKey(name) && started.get(name).isAlive();
+    }
+
     Process get(String name) {
         return started.get(name);
     }
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import com.google.protobuf.Message;
 import io.vertx.core.Vertx;
@@ -54,7 +55,13 @@
 
     /** A site with its key-value stand-in running and nothing else. */
     static TestSite start(String name) throws IOException, InterruptedException {
-        TestSite site = new TestSite(Files.createDirectories(Path.of("target", "sites", name)));
+        Path dir = Path.of("target", "sites", name);
+        if (Files.exists(dir)) {
+            try (Stream<Path> old = Files.list(dir)) {
+                old.forEach(f -> f.toFile().delete());
+            }
+        }
+        TestSite site = new TestSite(Files.createDirectories(dir));
         site.tools("kv", "kv", "--port", "" + site.kvPort, "--control-port", "" + site.kvControlPort);
         Processes.awaitPort(site.kvPort);
         Processes.awaitPort(site.kvControlPort);
@@ -65,12 +72,13 @@
         return vertx;
     }
 
+    /** An engine stand-in and, unless it runs already, the agent beside it; also starts a killed one again. */
     TestSite engine(String id, String... options) throws IOException {
-        targetPorts.put(id, Ports.free());
+        targetPorts.computeIfAbsent(id, i -> Ports.free());
         List<String> args = new ArrayList<>(List.of("engine", "--id", id, "--port", "" + targetPorts.get(id)));
         args.addAll(Arrays.asList(options));
         tools(id, args.toArray(String[]::new));
-        return agent(id, "drafting");
+        return processes.alive("agent-" + id) ? this : agent(id, "drafting");
     }
 
     TestSite service(String id, int latencyMs) throws IOException {
@@ -79,10 +87,10 @@
         return agent(id, "print-house");
     }
 
-    /** A router; {@code lines} are added at the end of its settings. */
+    /** A router, also one killed before; {@code lines} are added at the end of its settings. */
     TestSite router(String id, String... lines) throws IOException {
-        httpPorts.put(id, Ports.free());
-        adminPorts.put(id, Ports.free());
+        httpPorts.computeIfAbsent(id, i -> Ports.free());
+        adminPorts.computeIfAbsent(id, i -> Ports.free());
         List<String> ini = new ArrayList<>(List.of(
                 "[router]",
                 "id = " + id,
@@ -230,6 +238,18 @@
         processes.signal(name, "CONT");
     }
 
+    /** True when a process of this site ever logged {@code text}. */
+    boolean logged(String text) throws IOException {
+        try (Stream<Path> files = Files.list(dir)) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".log")).toList()) {
+                if (Files.readString(file).contains(text)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Waits for a condition, however slow the machine; fails with its name after a minute. */
     static void await(String what, BooleanSupplier condition) throws InterruptedException {
         long untilMs = System.currentTimeMillis() + WAIT_MS;
