Scheduler: queue-wait estimate in its own class; headroom off by default; a failed try recorded

Change: ServiceTimes holds what requests have taken and the queue-wait estimate. headroom_percent defaults to 0.

Tried and reverted: 'pressure' (for 1 s after a tier lacked capacity, start no lower tier of its pool), meant to stop reviews being started only to be stopped again. No effect: the queues already put higher tiers first, and the wasted reviews are those started in the first seconds on empty engines.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -1,7 +1,6 @@
 package org.onyxhinge.core.schedule;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -35,8 +34,6 @@
 public final class Scheduler {
 
     private static final long NO_TARGET_RETRY_MS = 5_000;
-    private static final double SERVICE_EWMA_WEIGHT = 0.1;
-    private static final double INITIAL_SERVICE_MS = 2_000;
     private static final long ASK_TIMEOUT_MS = 150;
     private static final int PERCENT = 100;
     private static final int FORGET_AFTER_SILENCES = 20;
@@ -47,8 +44,7 @@
     private final Map<String, String> engineOfRequest = new HashMap<>();
     private final Map<String, Integer> offersByRequest = new HashMap<>();
     private final Map<String, Integer> inFlightByWorkspace = new HashMap<>();
-    private final Map<String, Double> serviceMsByPool = new HashMap<>();
-    private final Map<String, Double> lengthFactorByPool = new HashMap<>();
+    private final ServiceTimes serviceTimes = ServiceTimes.create();
     private final DispatchHistory dispatched = new DispatchHistory();
     private final Map<String, AskedRoom> asking = new LinkedHashMap<>();
     private int lowestRank = Integer.MAX_VALUE;
@@ -239,7 +235,7 @@
             return List.of();
         }
         forget(r.spec());
-        recordServiceTime(slot, r, nowMs - r.dispatchedAtMs());
+        serviceTimes.ended(slot, r, nowMs - r.dispatchedAtMs());
         return drainQueue(slot.info().pool(), nowMs);
     }
 
@@ -308,7 +304,8 @@
     }
 
     private List<Action> queueOrPreempt(RequestSpec spec, List<EngineSlot> live, long nowMs) {
-        long waitMs = queueWaitMs(spec, live, nowMs);
+        int ahead = queues.sizeUpTo(spec.pool(), spec.tier().rank());
+        long waitMs = serviceTimes.queueWaitMs(spec.pool(), live, ahead, nowMs);
         long etaMs = waitMs
                 + live.stream().mapToLong(s -> s.idleEstimateMs(spec)).min().orElse(0);
         boolean roomInQueue = queues.size(spec.pool(), spec.tier().rank()) < settings.queueLimitPerTier();
@@ -460,28 +457,6 @@
         return out;
     }
 
-    /**
-     * Estimates how long a request that joins the queue now waits for a slot: until as many running
-     * requests have ended as are queued ahead of it.
-     */
-    private long queueWaitMs(RequestSpec spec, List<EngineSlot> live, long nowMs) {
-        double lengthFactor = lengthFactorByPool.getOrDefault(spec.pool(), 1.0);
-        List<Long> endsAtMs = new ArrayList<>();
-        for (EngineSlot slot : live) {
-            slot.running().forEach(r -> endsAtMs.add(slot.expectedEndMs(r, lengthFactor, nowMs)));
-            for (int i = 0; i < slot.othersInFlight(); i++) {
-                endsAtMs.add(nowMs + (long) serviceMs(spec.pool()));
-            }
-        }
-        if (endsAtMs.isEmpty()) {
-            return 0;
-        }
-        Collections.sort(endsAtMs);
-        int ahead = queues.sizeUpTo(spec.pool(), spec.tier().rank());
-        long rounds = ahead / endsAtMs.size();
-        return endsAtMs.get(ahead % endsAtMs.size()) - nowMs + (long) (rounds * serviceMs(spec.pool()));
-    }
-
     private Optional<EngineSlot> fastestFree(List<EngineSlot> live, RequestSpec spec) {
         if (!leavesHeadroom(live, spec)) {
             return Optional.empty();
@@ -522,11 +497,7 @@
     }
 
     private long retryAfterMs(RequestSpec spec) {
-        return (long) serviceMs(spec.pool());
-    }
-
-    private double serviceMs(String pool) {
-        return serviceMsByPool.getOrDefault(pool, INITIAL_SERVICE_MS);
+        return serviceTimes.meanMs(spec.pool());
     }
 
     private void count(RequestSpec spec) {
@@ -536,15 +507,4 @@
     private void forget(RequestSpec spec) {
         inFlightByWorkspace.computeIfPresent(spec.workspace(), (w, n) -> n <= 1 ? null : n - 1);
     }
-
-    private void recordServiceTime(EngineSlot slot, Running r, long elapsedMs) {
-        String pool = slot.info().pool();
-        double factor = elapsedMs / Math.max(1, r.nominalServiceMs() * slot.slowness());
-        serviceMsByPool.merge(pool, (double) elapsedMs, Scheduler::smoothed);
-        lengthFactorByPool.merge(pool, Math.min(1, factor), Scheduler::smoothed);
-    }
-
-    private static double smoothed(double old, double now) {
-        return old + SERVICE_EWMA_WEIGHT * (now - old);
-    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/SchedulerSettings.java
@@ -33,6 +33,6 @@
 
     /** Defaults that suit the sample workloads. */
     public static SchedulerSettings defaults() {
-        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3, 200, 100);
+        return new SchedulerSettings(new RoutingPolicy.EarliestFirstToken(), 256, 3_000, 1_000, 512, 3, 200, 0);
     }
 }
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/ServiceTimes.java
@@ -0,0 +1,65 @@
+package org.onyxhinge.core.schedule;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What requests of each pool have lately taken, and from it how long one that joins the queue now waits
+ * for a slot. Owned by the scheduler's thread.
+ */
+final class ServiceTimes {
+
+    private static final double WEIGHT = 0.1;
+    private static final double INITIAL_MS = 2_000;
+
+    private final Map<String, Double> meanMsByPool = new HashMap<>();
+    private final Map<String, Double> lengthFactorByPool = new HashMap<>();
+
+    private ServiceTimes() {}
+
+    static ServiceTimes create() {
+        return new ServiceTimes();
+    }
+
+    /** A request ended; {@code elapsedMs} after its dispatch. */
+    void ended(EngineSlot slot, Running r, long elapsedMs) {
+        String pool = slot.info().pool();
+        double lengthFactor = elapsedMs / Math.max(1, r.nominalServiceMs() * slot.slowness());
+        meanMsByPool.merge(pool, (double) elapsedMs, ServiceTimes::smoothed);
+        lengthFactorByPool.merge(pool, Math.min(1, lengthFactor), ServiceTimes::smoothed);
+    }
+
+    /** The mean time from dispatch to end. */
+    long meanMs(String pool) {
+        return meanMsByPool.getOrDefault(pool, INITIAL_MS).longValue();
+    }
+
+    /**
+     * Estimates how long a request waits for a slot with {@code ahead} others queued before it: until as
+     * many running requests have ended. Others' requests, of which only the number is known, are taken
+     * to end after the mean time.
+     */
+    long queueWaitMs(String pool, List<EngineSlot> live, int ahead, long nowMs) {
+        double lengthFactor = lengthFactorByPool.getOrDefault(pool, 1.0);
+        List<Long> endsAtMs = new ArrayList<>();
+        for (EngineSlot slot : live) {
+            slot.running().forEach(r -> endsAtMs.add(slot.expectedEndMs(r, lengthFactor, nowMs)));
+            for (int i = 0; i < slot.othersInFlight(); i++) {
+                endsAtMs.add(nowMs + meanMs(pool));
+            }
+        }
+        if (endsAtMs.isEmpty()) {
+            return 0;
+        }
+        Collections.sort(endsAtMs);
+        long rounds = ahead / endsAtMs.size();
+        return endsAtMs.get(ahead % endsAtMs.size()) - nowMs + rounds * meanMs(pool);
+    }
+
+    private static double smoothed(double old, double now) {
+        return old + WEIGHT * (now - old);
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
@@ -49,6 +49,11 @@
      */
     public record Options(int routers, RoutingPolicy policy, int headroomPercent) {
 
+        /** The same with another policy. */
+        public Options with(RoutingPolicy other) {
+            return new Options(routers, other, headroomPercent);
+        }
+
         /** One router with the product's own policy. */
         public static Options defaults() {
             SchedulerSettings defaults = SchedulerSettings.defaults();
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/CompareCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/CompareCommand.java
@@ -18,6 +18,7 @@
 import org.onyxhinge.runtime.Logs;
 import org.onyxhinge.runtime.Settings;
 import org.onyxhinge.tools.demo.Deployment;
+import org.onyxhinge.tools.demo.Embedded;
 import org.onyxhinge.tools.demo.Target;
 import org.onyxhinge.tools.load.Workload;
 
@@ -29,6 +30,7 @@
 @Command(name = "compare", description = "Compare routing policies under load on an embedded site")
 public final class CompareCommand implements Runnable {
 
+    private static final SchedulerSettings DEFAULTS = SchedulerSettings.defaults();
     private static final int MAX_SECONDS = 600;
     private static final int MAX_COPIES = 16;
     private static final int MAX_ROUTERS = 8;
@@ -58,8 +60,8 @@
     @Option(name = "--routers", title = "N", description = "routers of the site (default 1)")
     private int routers = 1;
 
-    @Option(name = "--headroom", title = "PERCENT", description = "headroom_percent of the routers (default 100)")
-    private int headroomPercent = SchedulerSettings.defaults().headroomPercent();
+    @Option(name = "--headroom", title = "PERCENT", description = "headroom_percent of the routers (default 0)")
+    private int headroomPercent = DEFAULTS.headroomPercent();
 
     @Option(name = "--seed", title = "N", description = "seed of the workload (default 7)")
     private long seed = 7;
@@ -82,8 +84,7 @@
                     copied(targets),
                     setup,
                     Workload.read(dir.resolve("workload.jsonl")),
-                    within("--routers", routers, MAX_ROUTERS),
-                    headroomPercent,
+                    new Embedded.Options(within("--routers", routers, MAX_ROUTERS), DEFAULTS.policy(), headroomPercent),
                     within("--seconds", seconds, MAX_SECONDS),
                     seed);
             report(comparison.run(cells()));
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/Comparison.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/experiment/Comparison.java
@@ -22,8 +22,7 @@
  * @param targets the site's targets
  * @param setup its configuration
  * @param sample the workload requests are drawn from
- * @param routers how many routers the site has
- * @param headroomPercent room lower tiers leave for higher ones
+ * @param options the site's routers and their knobs; each run sets its policy
  * @param seconds length of one run
  * @param seed seed of the workload
  */
@@ -31,8 +30,7 @@
         List<Target> targets,
         List<Message> setup,
         List<WorkItem> sample,
-        int routers,
-        int headroomPercent,
+        Embedded.Options options,
         int seconds,
         long seed) {
 
@@ -44,8 +42,7 @@
     CellResult run(Cell cell) {
         double rate = LoadGenerator.capacityPerSecond(targets, sample) * cell.loadFactor();
         List<WorkItem> items = LoadGenerator.draw(sample, rate, cell.scenario(), seconds, seed);
-        try (Embedded site =
-                        Embedded.start(targets, setup, new Embedded.Options(routers, cell.policy(), headroomPercent));
+        try (Embedded site = Embedded.start(targets, setup, options.with(cell.policy()));
                 Driver driver = Driver.balanced(site.platform(), "127.0.0.1", site.httpPorts(), ANSWER_TIMEOUT_MS)) {
             if (cell.scenario() == Scenario.SLOWDOWN) {
                 slowDown(site);
