Test and tool ports out of the ephemeral range; time configuration changes in footprint

Cause: a footprint run under load measured 0 bytes/s because its engine stand-in had died with 'Address already in use': Ports.free answered an ephemeral port, which an outgoing connection of another process took before the stand-in bound it.

Change: Ports.free takes ports from 20000-31999, below the range of outgoing connections, never the same twice in a process; footprint fails when a process of its fleet has ended. footprint also times configuration changes until they are in force on every router (an upper bound: the looks are included).

--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
+import org.HdrHistogram.Histogram;
 import org.onyxhinge.agent.cli.AgentMain;
 import org.onyxhinge.router.cli.RouterMain;
 import org.onyxhinge.runtime.Launch;
@@ -57,12 +58,16 @@
     @Option(name = "--seconds", title = "N", description = "how long to measure (default 20)")
     private int seconds = 20;
 
+    @Option(name = "--changes", title = "N", description = "configuration changes to time at the end (default 50)")
+    private int changes = 50;
+
     private final List<Process> started = new ArrayList<>();
     private final List<Integer> routerPorts = new ArrayList<>();
     private final List<Integer> agentPorts = new ArrayList<>();
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient http = vertx.createHttpClient();
     private Path dir;
+    private int adminPort;
 
     /** What one process shows of itself. */
     private record Reading(
@@ -102,6 +107,13 @@
         System.out.println("role     cpu-percent  resident-mb  private-mb  peer-in-b/s  peer-out-b/s  kv-calls/s");
         print("router", routersBefore, read(routerPorts));
         print("agent", agentsBefore, read(agentPorts));
+        if (changes > 0) {
+            Histogram ms = ChangeTimer.time(
+                    vertx, adminPort, changes, routerPorts, port -> state(port).getLong("configRevision"));
+            System.out.printf(
+                    "%d changes in force on all %d routers: p50 %d ms, p95 %d ms, max %d ms%n",
+                    changes, routers, ms.getValueAtPercentile(50), ms.getValueAtPercentile(95), ms.getMaxValue());
+        }
     }
 
     private void startFleet() throws IOException, InterruptedException {
@@ -111,6 +123,8 @@
         java(ToolsMain.class, "tools", "standin", "engine", "--id", "shared", "--port", "" + enginePort);
         for (int i = 0; i < routers; i++) {
             int port = Ports.free();
+            int admin = Ports.free();
+            adminPort = i == 0 ? admin : adminPort;
             routerPorts.add(port);
             String file = write(
                     "router-" + i,
@@ -119,7 +133,7 @@
                             "id = r" + i,
                             "data_centre = local",
                             "http_port = " + port,
-                            "admin_port = " + Ports.free(),
+                            "admin_port = " + admin,
                             "engines_per_pool = " + enginesPerPool,
                             "[kv]",
                             "port = " + kvPort,
@@ -149,6 +163,9 @@
         }
         awaitAll(routerPorts);
         awaitAll(agentPorts);
+        if (!started.stream().allMatch(Process::isAlive)) {
+            throw new IllegalStateException("a process of the fleet ended at once; its log is in " + dir);
+        }
     }
 
     /** Starts a binary with the flags and environment of its script in {@code bin/}. */
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Ports.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Ports.java
@@ -1,21 +1,35 @@
 package org.onyxhinge.tools.demo;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Free loopback ports for the embedded processes. */
+/**
+ * Free loopback ports for processes that are started a moment later. They lie below the range the
+ * system gives to outgoing connections, so no connection takes one in between, and one process never
+ * answers the same port twice.
+ */
 public final class Ports {
 
+    private static final int FIRST = 20_000;
+    private static final int COUNT = 12_000;
+    private static final int SPREAD = 131;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * SPREAD % COUNT));
+
     private Ports() {}
 
-    /** A port that was free a moment ago. */
+    /** A port nothing listens on. */
     public static int free() {
-        try (ServerSocket s = new ServerSocket(0)) {
-            s.setReuseAddress(true);
-            return s.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException("no free port", e);
+        for (int tried = 0; tried < COUNT; tried++) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return s.getLocalPort();
+            } catch (IOException taken) {
+                continue;
+            }
         }
+        throw new IllegalStateException("no free port in " + FIRST + ".." + (FIRST + COUNT - 1));
     }
 }
