Dispatch: a request stopped while being handed back is still answered; claims in a class of their own

Cause: read as a newcomer, Dispatcher.cancel fired an event that the chart does not know in 'received'. When the scheduler stopped a request (room for a higher tier, deadline) just as its target turned out unreachable, the cancel was dropped and the later unsent found nothing in the scheduler: the caller was never answered. Also a request stopped before it was sent was told 'may have run' and its claim was kept, although it provably was not run.

Ruled out: letting 'preempt' lead out of 'received' (the caller would be told a request was partly run that was not).

Change: cancel answers an unsent flight as not run (deadline_unreachable) and always reports the end, with whether any byte was sent; that alone decides whether a claim stays.

Before: aRequestStoppedWhileItIsHandedBackIsStillAnswered and the added assertion in aStoppedRequestNeverReachesTheTarget fail (response not ended; claim not given back).

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -29,6 +29,7 @@
 import org.onyxhinge.core.schedule.Scheduler;
 import org.onyxhinge.router.admin.AdminService;
 import org.onyxhinge.router.config.ConfigStore;
+import org.onyxhinge.router.dispatch.Claims;
 import org.onyxhinge.router.dispatch.ControlPlane;
 import org.onyxhinge.router.dispatch.Flight;
 import org.onyxhinge.router.dispatch.OnceRegistry;
@@ -65,7 +66,6 @@
     private final RequestIds ids;
     private final Scheduler scheduler;
     private final Map<String, Flight> flights = new HashMap<>();
-    private final Map<String, OnceRegistry.Claim> claims = new HashMap<>();
     private final Map<String, EngineInfo> engines = new TreeMap<>();
     private final Map<Long, String> roomAsks = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -77,7 +77,7 @@
     };
     private KvClient kv;
     private ConfigStore config;
-    private OnceRegistry once;
+    private Claims claims;
     private AgentLinks agents;
     private OrderService orders;
     private long nextAskId = 1;
@@ -134,7 +134,7 @@
     private Future<RouterNode> startOnControl() {
         kv = KvClient.connect(vertx, settings.kvHost(), settings.kvPort(), settings.kvCallTimeoutMs());
         config = ConfigStore.create(kv, c -> scheduler.lowestRank(c.lowestRank()));
-        once = OnceRegistry.create(vertx, kv, settings.onceWindowMs());
+        claims = Claims.create(vertx, OnceRegistry.create(vertx, kv, settings.onceWindowMs()));
         return config.start(vertx)
                 .compose(c -> {
                     agents = AgentLinks.start(vertx, kv, this, settings.routerId(), settings.enginesPerPool());
@@ -185,23 +185,9 @@
                 schedule(f);
                 return;
             }
-            claim(f);
-        });
-    }
-
-    /** Records a non-idempotent request; refuses it as soon as that takes longer than its tier allows. */
-    private void claim(Flight f) {
-        long leftMs = Math.max(1, f.spec().firstTokenDueAtMs() - nowMs());
-        Promise<OnceRegistry.Claim> claimed = Promise.promise();
-        long timer = vertx.setTimer(leftMs, t -> claimed.tryFail("the store did not confirm within the tier's budget"));
-        claimed.future().onSuccess(claim -> claimed(f, claim)).onFailure(e -> refuseUnscheduled(f, e));
-        once.claim(f.spec()).onComplete(result -> {
-            vertx.cancelTimer(timer);
-            boolean late =
-                    result.succeeded() ? !claimed.tryComplete(result.result()) : !claimed.tryFail(result.cause());
-            if (late && result.succeeded()) {
-                once.release(result.result());
-            }
+            claims.take(f.spec(), f.spec().firstTokenDueAtMs() - nowMs())
+                    .onSuccess(taken -> claimed(f))
+                    .onFailure(e -> refuseUnscheduled(f, e));
         });
     }
 
@@ -215,12 +201,11 @@
     }
 
     /** The claim is in the store; schedules the request unless its caller left meanwhile. */
-    private void claimed(Flight f, OnceRegistry.Claim claim) {
+    private void claimed(Flight f) {
         if (flights.containsKey(f.spec().requestId())) {
-            claims.put(f.spec().requestId(), claim);
             schedule(f);
         } else {
-            once.release(claim);
+            claims.ended(f.spec().requestId(), false);
         }
     }
 
@@ -246,22 +231,11 @@
     public void ended(String requestId, boolean sent, RefusalReason outcome) {
         control.runOnContext(v -> {
             flights.remove(requestId);
-            if (sent) {
-                claims.remove(requestId);
-            } else {
-                releaseClaim(requestId);
-            }
+            claims.ended(requestId, sent);
             execute(scheduler.ended(requestId, nowMs()));
         });
     }
 
-    private void releaseClaim(String requestId) {
-        OnceRegistry.Claim claim = claims.remove(requestId);
-        if (claim != null) {
-            once.release(claim);
-        }
-    }
-
     @Override
     public void received(String engineId, PeerMessage.ToRouter message) {
         switch (message) {
@@ -329,13 +303,12 @@
             }
             case Action.Refuse r -> {
                 flights.remove(r.requestId());
-                releaseClaim(r.requestId());
+                claims.ended(r.requestId(), false);
                 f.traffic().runOnContext(v -> f.dispatcher().refuse(f, r.refusal()));
             }
             case Action.AskRoom ask -> askRoom(ask);
             case Action.Cancel c -> {
                 flights.remove(c.requestId());
-                claims.remove(c.requestId());
                 f.traffic().runOnContext(v -> f.dispatcher().cancel(f, c.refusal()));
             }
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -99,15 +99,29 @@
         }
     }
 
-    /** Stops a dispatched request on its engine and tells its caller why. */
+    /**
+     * Stops a request the scheduler had dispatched and tells its caller why; of a request that was not
+     * sent yet, that it was not run.
+     */
     public void cancel(Flight f, Refusal r) {
-        String event = r.reason() == RefusalReason.PREEMPTED ? "preempt" : "fail";
-        if (!f.machine.tryFire(event)) {
-            return;
+        if (f.sent) {
+            stop(f, r);
+        } else if (f.machine.tryFire("refuse")) {
+            metrics.refused(RefusalReason.DEADLINE_UNREACHABLE);
+            Answers.refuse(
+                    f.caller.response(),
+                    f.spec.requestId(),
+                    Refusal.of(RefusalReason.DEADLINE_UNREACHABLE, r.detail() + "; not run", r.retryAfterMs()));
+        }
+        control.ended(f.spec.requestId(), f.sent, r.reason());
+    }
+
+    private void stop(Flight f, Refusal r) {
+        if (f.machine.tryFire(r.reason() == RefusalReason.PREEMPTED ? "preempt" : "fail")) {
+            metrics.refused(r.reason());
+            stopUpstream(f);
+            endPartial(f, r);
         }
-        metrics.refused(r.reason());
-        stopUpstream(f);
-        endPartial(f, r);
     }
 
     /** The caller went away: cancel on the engine if any of it was sent. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
@@ -116,6 +116,10 @@
             held.response().end("{}");
             take(atTarget).response().end("{}");
             assertThat(keysRun, contains("k-first", "k-last"));
+            assertThat(
+                    "its claim is given back",
+                    control.notRun,
+                    contains(waiting.spec().requestId()));
         }
     }
 
@@ -131,6 +135,17 @@
             assertThat(requestId, equalTo(f.spec().requestId()));
             assertThat(keysRun.isEmpty(), is(true));
         }
+
+        @Test
+        void aRequestStoppedWhileItIsHandedBackIsStillAnswered() throws Exception {
+            Launch.await(target.close(), WAIT_MS);
+            Flight f = flight("k-stopped");
+            onTraffic(() -> dispatcher.dispatch(f, engine));
+            control.unsent.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+            onTraffic(() -> dispatcher.cancel(f, Refusal.of(RefusalReason.PREEMPTED, "stopped", 0)));
+            assertThat(f.caller.response().ended(), is(true));
+            assertThat(control.notRun, contains(f.spec().requestId()));
+        }
     }
 
     private Flight flight(String key) throws InterruptedException {
