--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -19,7 +19,9 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.runtime.StatusEndpoints;
+import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.kv.KvClient;
+import org.onyxhinge.wire.kv.KvKeys;
 import org.onyxhinge.wire.kv.LeaseKeeper;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -29,12 +31,8 @@
  */
 public final class AgentNode implements AutoCloseable {
 
-    /** Key prefix under which agents are found: {@code members/agents/POOL/TARGET}. */
-    public static final String MEMBERS_PREFIX = "members/agents/";
-
     private static final Logger LOG = Logger.getLogger(AgentNode.class);
     private static final long DRAIN_POLL_MS = 50;
-    private static final int NS_PER_MS = 1_000_000;
 
     private final AgentSettings settings;
     private final Vertx vertx;
@@ -113,7 +111,7 @@
         membership = LeaseKeeper.hold(
                 vertx,
                 kv,
-                MEMBERS_PREFIX + settings.pool() + "/" + settings.targetId(),
+                KvKeys.AGENTS + settings.pool() + "/" + settings.targetId(),
                 address.getBytes(StandardCharsets.UTF_8),
                 settings.leaseTtlMs(),
                 token -> {});
@@ -203,7 +201,7 @@
             report();
             routers.broadcast(new PeerMessage.Bye());
             LOG.infof("agent draining id=%s", settings.agentId());
-            waitIdle(nowMs(), nowMs() + settings.drainTimeoutMs(), done);
+            waitIdle(MonotonicClock.nowMs(), MonotonicClock.nowMs() + settings.drainTimeoutMs(), done);
         });
         return done.future()
                 .compose(v -> {
@@ -215,7 +213,7 @@
 
     /** Load is reported late, so the target counts as idle only once it has shown no work for a while. */
     private void waitIdle(long idleSinceMs, long untilMs, Promise<Void> done) {
-        long nowMs = nowMs();
+        long nowMs = MonotonicClock.nowMs();
         int busy = lastLoad.getInteger("running", 0) + lastLoad.getInteger("waiting", 0);
         long since = busy == 0 ? idleSinceMs : nowMs;
         boolean settled = nowMs - since >= settings.drainSettleMs();
@@ -227,10 +225,6 @@
         vertx.setTimer(DRAIN_POLL_MS, t -> waitIdle(since, untilMs, done));
     }
 
-    private static long nowMs() {
-        return System.nanoTime() / NS_PER_MS;
-    }
-
     @Override
     public void close() {
         vertx.close();
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentOrders.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentOrders.java
@@ -10,6 +10,7 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.wire.kv.KvClient;
+import org.onyxhinge.wire.kv.KvKeys;
 
 /**
  * Carries out orders on the target, one after the other, and only of the holder of the pool's order
@@ -20,9 +21,6 @@
  */
 final class AgentOrders {
 
-    /** Key prefix of the order leases, one per pool. */
-    static final String LEASE_PREFIX = "orders/";
-
     private static final Logger LOG = Logger.getLogger(AgentOrders.class);
     private static final int HTTP_OK = 200;
     private static final int HTTP_CONFLICT = 409;
@@ -60,7 +58,7 @@
     }
 
     private Future<Result> carryOut(Order order) {
-        return kv.get(LEASE_PREFIX + settings.pool())
+        return kv.get(KvKeys.ORDERS + settings.pool())
                 .compose(
                         reply -> {
                             long holder = reply.entries().isEmpty()
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
@@ -13,6 +13,7 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.room.RoomBroker;
 import org.onyxhinge.core.room.RoomStep;
+import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerConnection;
 import org.onyxhinge.wire.peer.PeerMessage;
 import org.onyxhinge.wire.peer.PeerTraffic;
@@ -26,7 +27,6 @@
     private static final Logger LOG = Logger.getLogger(RouterHub.class);
     private static final long ROOM_TURN_MS = 25;
     private static final long ROOM_TICK_MS = 5;
-    private static final int NS_PER_MS = 1_000_000;
 
     private final Vertx vertx;
     private final Supplier<PeerMessage.Hello> hello;
@@ -110,8 +110,9 @@
             switch (message) {
                 case PeerMessage.Subscribe s -> subscribed(s.routerId());
                 case PeerMessage.RoomRequest r ->
-                    carryOut(rooms.requested(routerId, r.askId(), r.rank(), routerIds(), nowMs()));
-                case PeerMessage.Yielded y -> carryOut(rooms.answered(routerId, y.turnId(), y.made(), nowMs()));
+                    carryOut(rooms.requested(routerId, r.askId(), r.rank(), routerIds(), MonotonicClock.nowMs()));
+                case PeerMessage.Yielded y ->
+                    carryOut(rooms.answered(routerId, y.turnId(), y.made(), MonotonicClock.nowMs()));
                 case PeerMessage.OrderRequest o -> order(o);
             }
         }
@@ -125,7 +126,7 @@
         private void closed() {
             if (routerId != null && byRouter.remove(routerId, connection)) {
                 LOG.infof("router gone router=%s", routerId);
-                carryOut(rooms.left(routerId, nowMs()));
+                carryOut(rooms.left(routerId, MonotonicClock.nowMs()));
             }
         }
     }
@@ -148,14 +149,10 @@
 
     /** Runs only while a router waits for room. */
     private void roomTick() {
-        carryOut(rooms.tick(nowMs()));
+        carryOut(rooms.tick(MonotonicClock.nowMs()));
         if (rooms.open() == 0) {
             vertx.cancelTimer(roomTimer);
             roomTimer = -1;
         }
     }
-
-    private static long nowMs() {
-        return System.nanoTime() / NS_PER_MS;
-    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -37,7 +37,9 @@
 import org.onyxhinge.router.order.OrderService;
 import org.onyxhinge.router.peer.AgentLinks;
 import org.onyxhinge.router.peer.PeerListener;
+import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.kv.KvClient;
+import org.onyxhinge.wire.kv.KvKeys;
 import org.onyxhinge.wire.kv.LeaseKeeper;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -48,16 +50,12 @@
  */
 public final class RouterNode implements ControlPlane, PeerListener, AutoCloseable {
 
-    /** Key prefix under which routers hold their membership leases. */
-    public static final String MEMBERS_PREFIX = "members/routers/";
-
     private static final Logger LOG = Logger.getLogger(RouterNode.class);
     private static final long TICK_MS = 20;
     private static final long IDLE_TICK_MS = 1_000;
     private static final int MAX_ROOM_ASKS = 10_000;
     private static final long DRAIN_POLL_MS = 50;
     private static final long STORE_RETRY_MS = 1_000;
-    private static final int NS_PER_MS = 1_000_000;
 
     private final RouterSettings settings;
     private final Vertx vertx;
@@ -160,7 +158,7 @@
         membership = LeaseKeeper.hold(
                 vertx,
                 kv,
-                MEMBERS_PREFIX + settings.routerId(),
+                KvKeys.ROUTERS + settings.routerId(),
                 address.getBytes(StandardCharsets.UTF_8),
                 settings.leaseTtlMs(),
                 token -> {});
@@ -185,7 +183,7 @@
                 schedule(f);
                 return;
             }
-            claims.take(f.spec(), f.spec().firstTokenDueAtMs() - nowMs())
+            claims.take(f.spec(), f.spec().firstTokenDueAtMs() - MonotonicClock.nowMs())
                     .onSuccess(taken -> claimed(f))
                     .onFailure(e -> refuseUnscheduled(f, e));
         });
@@ -195,7 +193,7 @@
         int limit = config().workspace(f.spec().workspace())
                 .map(Workspace::maxInFlight)
                 .orElse(0);
-        List<Action> actions = scheduler.submit(f.spec(), limit, nowMs());
+        List<Action> actions = scheduler.submit(f.spec(), limit, MonotonicClock.nowMs());
         f.decided(System.nanoTime());
         execute(actions);
     }
@@ -219,12 +217,12 @@
 
     @Override
     public void firstToken(String requestId) {
-        control.runOnContext(v -> scheduler.firstToken(requestId, nowMs()));
+        control.runOnContext(v -> scheduler.firstToken(requestId, MonotonicClock.nowMs()));
     }
 
     @Override
     public void unsent(String requestId) {
-        control.runOnContext(v -> execute(scheduler.unsent(requestId, nowMs())));
+        control.runOnContext(v -> execute(scheduler.unsent(requestId, MonotonicClock.nowMs())));
     }
 
     @Override
@@ -232,7 +230,7 @@
         control.runOnContext(v -> {
             flights.remove(requestId);
             claims.ended(requestId, sent);
-            execute(scheduler.ended(requestId, nowMs()));
+            execute(scheduler.ended(requestId, MonotonicClock.nowMs()));
         });
     }
 
@@ -240,7 +238,7 @@
     public void received(String engineId, PeerMessage.ToRouter message) {
         switch (message) {
             case PeerMessage.Hello h -> hello(h);
-            case PeerMessage.Load l -> execute(scheduler.engineReported(l.toReport(engineId), nowMs()));
+            case PeerMessage.Load l -> execute(scheduler.engineReported(l.toReport(engineId), MonotonicClock.nowMs()));
             case PeerMessage.Bye b -> {
                 LOG.infof("engine leaving engine=%s", engineId);
                 scheduler.engineDraining(engineId);
@@ -249,7 +247,7 @@
             case PeerMessage.RoomReply r -> {
                 String requestId = roomAsks.remove(r.askId());
                 if (requestId != null) {
-                    execute(scheduler.roomAnswered(requestId, r.made(), nowMs()));
+                    execute(scheduler.roomAnswered(requestId, r.made(), MonotonicClock.nowMs()));
                 }
             }
             case PeerMessage.OrderReply o -> LOG.warnf("order reply not expected engine=%s", engineId);
@@ -263,7 +261,7 @@
                     "engine joined engine=%s pool=%s agent=%s address=%s:%d",
                     info.engineId(), info.pool(), hello.agentId(), info.host(), info.port());
         }
-        execute(scheduler.engineJoined(info, nowMs()));
+        execute(scheduler.engineJoined(info, MonotonicClock.nowMs()));
     }
 
     /** Another router needs room: stops one lower-tier request of this router, if it has one there. */
@@ -280,7 +278,7 @@
         if (agents.send(ask.engineId(), request)) {
             roomAsks.put(askId, ask.requestId());
         } else {
-            execute(scheduler.roomAnswered(ask.requestId(), false, nowMs()));
+            execute(scheduler.roomAnswered(ask.requestId(), false, MonotonicClock.nowMs()));
         }
     }
 
@@ -288,7 +286,7 @@
         for (Action a : actions) {
             Flight f = flights.get(a.requestId());
             if (f == null) {
-                execute(scheduler.ended(a.requestId(), nowMs()));
+                execute(scheduler.ended(a.requestId(), MonotonicClock.nowMs()));
             } else {
                 execute(a, f);
             }
@@ -318,7 +316,7 @@
     private void tickLater() {
         vertx.cancelTimer(tickTimer);
         tickTimer = vertx.setTimer(flights.isEmpty() ? IDLE_TICK_MS : TICK_MS, t -> {
-            execute(scheduler.tick(nowMs()));
+            execute(scheduler.tick(MonotonicClock.nowMs()));
             tickLater();
         });
     }
@@ -342,7 +340,7 @@
                 .put("peerBytesIn", agents.traffic().bytesIn())
                 .put("peerBytesOut", agents.traffic().bytesOut())
                 .put("flights", flightStates)
-                .put("scheduler", SnapshotJson.of(scheduler.snapshot(), nowMs()))
+                .put("scheduler", SnapshotJson.of(scheduler.snapshot(), MonotonicClock.nowMs()))
                 .put("metrics", metrics.toJson());
     }
 
@@ -358,13 +356,13 @@
             if (membership != null) {
                 membership.release();
             }
-            waitForFlights(nowMs() + settings.drainTimeoutMs(), done);
+            waitForFlights(MonotonicClock.nowMs() + settings.drainTimeoutMs(), done);
         });
         return done.future().compose(v -> vertx.close());
     }
 
     private void waitForFlights(long untilMs, Promise<Void> done) {
-        if (flights.isEmpty() || nowMs() >= untilMs) {
+        if (flights.isEmpty() || MonotonicClock.nowMs() >= untilMs) {
             LOG.infof("router drained id=%s left=%d", settings.routerId(), flights.size());
             done.complete();
             return;
@@ -382,8 +380,4 @@
         control.runOnContext(v -> work.get().onComplete(p));
         return p.future();
     }
-
-    private static long nowMs() {
-        return System.nanoTime() / NS_PER_MS;
-    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
 import org.onyxhinge.router.RouterMetrics;
+import org.onyxhinge.wire.MonotonicClock;
 
 /**
  * Sends flights to their targets and streams answers back, on one traffic context. A flight is sent
@@ -242,7 +243,7 @@
     }
 
     private void delivered(Flight f) {
-        long nowMs = System.nanoTime() / 1_000_000;
+        long nowMs = MonotonicClock.nowMs();
         long firstMs = (f.firstTokenNs - f.arrivedNs) / 1_000_000;
         boolean inTime = firstMs <= f.spec.tier().firstTokenBudgetMs() && nowMs <= f.spec.dueAtMs();
         metrics.delivered(f.spec.tier().name(), inTime);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/OnceRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/OnceRegistry.java
@@ -8,9 +8,11 @@
 import org.onyxhinge.core.model.RequestSpec;
 import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
+import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.kv.KvClient;
 import org.onyxhinge.wire.kv.KvEntry;
 import org.onyxhinge.wire.kv.KvException;
+import org.onyxhinge.wire.kv.KvKeys;
 import org.onyxhinge.wire.kv.KvMessage;
 import org.onyxhinge.wire.kv.KvStatus;
 
@@ -29,7 +31,6 @@
 public final class OnceRegistry {
 
     private static final Logger LOG = Logger.getLogger(OnceRegistry.class);
-    private static final String PREFIX = "once/";
     private static final int LEASES_PER_WINDOW = 4;
     private static final long RELEASE_RETRY_MS = 500;
     private static final int RELEASE_ATTEMPTS = 1_200;
@@ -62,7 +63,7 @@
 
     /** Claims the request's key; fails with a {@link Refusal} wrapped in {@link RefusedException}. */
     public Future<Claim> claim(RequestSpec spec) {
-        Claim claim = new Claim(PREFIX + spec.workspace() + "/" + spec.idempotencyKey(), spec.requestId());
+        Claim claim = new Claim(KvKeys.ONCE + spec.workspace() + "/" + spec.idempotencyKey(), spec.requestId());
         byte[] owner = spec.requestId().getBytes(StandardCharsets.UTF_8);
         return windowLease()
                 .compose(
@@ -119,7 +120,7 @@
     }
 
     private Future<Long> windowLease() {
-        long nowMs = System.nanoTime() / 1_000_000;
+        long nowMs = MonotonicClock.nowMs();
         if (lease == null || lease.failed() || nowMs >= leaseRenewAtMs) {
             leaseRenewAtMs = nowMs + windowMs / LEASES_PER_WINDOW;
             lease = kv.grant(windowMs).map(KvMessage.Reply::leaseId);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/order/OrderService.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/order/OrderService.java
@@ -15,10 +15,10 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
-import org.onyxhinge.router.peer.AgentLinks;
 import org.onyxhinge.wire.kv.KvClient;
 import org.onyxhinge.wire.kv.KvEntry;
 import org.onyxhinge.wire.kv.KvException;
+import org.onyxhinge.wire.kv.KvKeys;
 import org.onyxhinge.wire.kv.KvMessage;
 import org.onyxhinge.wire.kv.KvStatus;
 import org.onyxhinge.wire.peer.PeerConnection;
@@ -34,7 +34,6 @@
 public final class OrderService {
 
     private static final Logger LOG = Logger.getLogger(OrderService.class);
-    private static final String LEASE_PREFIX = "orders/";
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final long ORDER_ID = 1;
 
@@ -64,7 +63,7 @@
         return hold(pool).compose(held -> {
             Order order = new Order(kind, argument, held.fencingToken());
             LOG.infof("order pool=%s kind=%s argument=%s token=%d", pool, kind, argument, held.fencingToken());
-            return kv.range(AgentLinks.AGENTS_PREFIX + pool + "/")
+            return kv.range(KvKeys.AGENTS + pool + "/")
                     .recover(e -> Future.failedFuture(OrderException.unavailable(pool, e)))
                     .compose(reply -> orderAll(reply.entries(), order))
                     .onComplete(r -> kv.revoke(held.leaseId()));
@@ -72,7 +71,7 @@
     }
 
     private Future<Holding> hold(String pool) {
-        String key = LEASE_PREFIX + pool;
+        String key = KvKeys.ORDERS + pool;
         byte[] owner = (routerId + " " + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         return kv.grant(leaseMs)
                 .recover(e -> Future.failedFuture(OrderException.unavailable(pool, e)))
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentLinks.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentLinks.java
@@ -15,6 +15,7 @@
 import org.onyxhinge.core.subset.Rendezvous;
 import org.onyxhinge.wire.kv.KvClient;
 import org.onyxhinge.wire.kv.KvEntry;
+import org.onyxhinge.wire.kv.KvKeys;
 import org.onyxhinge.wire.kv.KvMirror;
 import org.onyxhinge.wire.peer.PeerMessage;
 import org.onyxhinge.wire.peer.PeerTraffic;
@@ -29,9 +30,6 @@
  */
 public final class AgentLinks implements KvMirror.Listener, AutoCloseable {
 
-    /** Key prefix under which agents are found. */
-    public static final String AGENTS_PREFIX = "members/agents/";
-
     private static final Logger LOG = Logger.getLogger(AgentLinks.class);
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final long SWEEP_MS = 1_000;
@@ -61,7 +59,7 @@
     /** Starts following agents; call on the control context. */
     public static AgentLinks start(Vertx vertx, KvClient kv, PeerListener listener, String routerId, int perPool) {
         AgentLinks links = new AgentLinks(vertx, listener, routerId, perPool);
-        KvMirror.start(vertx, kv, AGENTS_PREFIX, links);
+        KvMirror.start(vertx, kv, KvKeys.AGENTS, links);
         return links;
     }
 
@@ -122,7 +120,7 @@
 
     private record AgentKey(String pool, String engineId) {
         private static AgentKey parse(String key) {
-            String[] parts = key.substring(AGENTS_PREFIX.length()).split("/", 2);
+            String[] parts = key.substring(KvKeys.AGENTS.length()).split("/", 2);
             return new AgentKey(parts[0], parts.length > 1 ? parts[1] : parts[0]);
         }
     }
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
@@ -20,6 +20,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.jboss.logging.Logger;
+import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.frame.FrameReader;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvCodec;
@@ -282,7 +283,7 @@
 
     private KvMessage.Reply grant(KvMessage.LeaseGrant g) {
         long id = nextLeaseId++;
-        leases.put(id, new Lease(g.ttlMs(), now() + g.ttlMs()));
+        leases.put(id, new Lease(g.ttlMs(), MonotonicClock.nowMs() + g.ttlMs()));
         return ok(g.callId(), List.of(), id);
     }
 
@@ -291,7 +292,7 @@
         if (lease == null) {
             return new KvMessage.Reply(k.callId(), KvStatus.NOT_FOUND, revision, List.of(), k.leaseId());
         }
-        lease.expiresAtMs = now() + lease.ttlMs;
+        lease.expiresAtMs = MonotonicClock.nowMs() + lease.ttlMs;
         return ok(k.callId(), List.of(), k.leaseId());
     }
 
@@ -304,7 +305,7 @@
     }
 
     private void expireLeases() {
-        long now = now();
+        long now = MonotonicClock.nowMs();
         List<Long> lapsed = new ArrayList<>();
         leases.forEach((id, lease) -> {
             if (lease.expiresAtMs <= now) {
@@ -331,10 +332,6 @@
         return new KvMessage.Reply(callId, KvStatus.OK, revision, entries, leaseId);
     }
 
-    private static long now() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     private static final class Lease {
         private final long ttlMs;
         private final Set<String> keys = new HashSet<>();
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
+import org.onyxhinge.wire.MonotonicClock;
 
 /**
  * Holds one key under a lease in the key-value service: grants the lease, writes the key, sends a
@@ -20,7 +21,6 @@
     private static final Logger LOG = Logger.getLogger(LeaseKeeper.class);
     private static final long FIRST_RETRY_MS = 50;
     private static final int KEEP_ALIVES_PER_TTL = 3;
-    private static final int NS_PER_MS = 1_000_000;
 
     private final Vertx vertx;
     private final KvClient kv;
@@ -67,7 +67,7 @@
      * sent, so a holder that was paused past its lease knows at once that it may have lapsed.
      */
     public boolean held() {
-        return leaseId != 0 && nowMs() < validUntilMs;
+        return leaseId != 0 && MonotonicClock.nowMs() < validUntilMs;
     }
 
     private void register() {
@@ -75,7 +75,7 @@
             return;
         }
         registering = true;
-        long sentAtMs = nowMs();
+        long sentAtMs = MonotonicClock.nowMs();
         kv.grant(ttlMs)
                 .compose(g -> kv.put(key, value, KvMessage.ANY, g.leaseId())
                         .map(p -> registered(g.leaseId(), p, sentAtMs))
@@ -106,7 +106,7 @@
         if (leaseId == 0) {
             return;
         }
-        long sentAtMs = nowMs();
+        long sentAtMs = MonotonicClock.nowMs();
         long beating = leaseId;
         kv.keepAlive(beating).onSuccess(r -> renewed(beating, sentAtMs)).onFailure(e -> {
             if (beating == leaseId && e instanceof KvException k && k.status() == KvStatus.NOT_FOUND) {
@@ -123,10 +123,6 @@
         }
     }
 
-    private static long nowMs() {
-        return System.nanoTime() / NS_PER_MS;
-    }
-
     /** Ends the lease now, deleting the key, so peers see the holder leave at once. */
     public Future<Void> release() {
         closed = true;
