--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -118,9 +118,11 @@
         return out;
     }
 
+    /** True when its workspace holds a request that may give way to it; the baselines know no tiers. */
     private boolean holdsLowerTier(RequestSpec spec) {
-        return queues.leastImportant(spec).isPresent()
-                || leastImportantRunning(spec).isPresent();
+        return settings.policy() instanceof RoutingPolicy.EarliestFirstToken
+                && (queues.leastImportant(spec).isPresent()
+                        || leastImportantRunning(spec).isPresent());
     }
 
     /** Gives up the workspace's least important request; of one tier, a queued one before a running one. */
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
@@ -72,12 +72,12 @@
         return scores;
     }
 
-    /** For example {@code SchedulerBenchmark.tick engines=4 queued=0}. */
+    /** For example {@code SchedulerBenchmark.tick engines-4 queued-0}. */
     private static String name(BenchmarkParams params) {
         String[] parts = params.getBenchmark().split("\\.");
         StringBuilder name = new StringBuilder(parts[parts.length - 2] + "." + parts[parts.length - 1]);
         for (String key : params.getParamsKeys()) {
-            name.append(' ').append(key).append('=').append(params.getParam(key));
+            name.append(' ').append(key).append('-').append(params.getParam(key));
         }
         return name.toString();
     }
@@ -85,7 +85,7 @@
     private static boolean check(Map<String, Double> scores, Profile.Section limits) {
         boolean within = true;
         for (Map.Entry<String, Double> score : scores.entrySet()) {
-            String limit = limits == null ? null : limits.get(score.getKey().replace('=', ':'));
+            String limit = limits == null ? null : limits.get(score.getKey());
             boolean past = limit != null && score.getValue() > Double.parseDouble(limit);
             within &= !past;
             System.out.printf(
