capacity footprint: what a request in flight and a token cost the router

Change: after the quiet measurement, footprint sends batches of requests of two lengths through one router and prints processor time a request and a token, and the heap a request in flight keeps (after a collection by jcmd).

--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -20,6 +20,7 @@
 import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.tools.ToolsMain;
 import org.onyxhinge.tools.demo.Ports;
+import org.onyxhinge.tools.load.Driver;
 
 /**
  * {@code capacity footprint}: starts a small fleet of real processes on loopback, leaves it quiet, and
@@ -30,6 +31,9 @@
 @Command(name = "footprint", description = "Measure what control takes of each process in a quiet fleet")
 public final class FootprintCommand implements Runnable {
 
+    /** The processes are started in this order: key-value service, engine, routers, agents. */
+    private static final int FIRST_ROUTER = 2;
+
     private static final int MAX_PROCESSES = 100;
     private static final int MAX_SECONDS = 300;
     private static final long CALL_MS = 20_000;
@@ -61,6 +65,9 @@
     @Option(name = "--changes", title = "N", description = "configuration changes to time at the end (default 50)")
     private int changes = 50;
 
+    @Option(name = "--requests", title = "N", description = "requests of a batch for the traffic cost (default 500)")
+    private int requests = 500;
+
     private final List<Process> started = new ArrayList<>();
     private final List<Integer> routerPorts = new ArrayList<>();
     private final List<Integer> agentPorts = new ArrayList<>();
@@ -107,6 +114,9 @@
         System.out.println("role     cpu-percent  resident-mb  private-mb  peer-in-b/s  peer-out-b/s  kv-calls/s");
         print("router", routersBefore, read(routerPorts));
         print("agent", agentsBefore, read(agentPorts));
+        if (requests > 0) {
+            measureTraffic();
+        }
         if (changes > 0) {
             Histogram ms = ChangeTimer.time(
                     vertx, adminPort, changes, routerPorts, port -> state(port).getLong("configRevision"));
@@ -116,50 +126,47 @@
         }
     }
 
+    private void measureTraffic() throws InterruptedException {
+        TrafficCost.configure(vertx, adminPort, "pool0");
+        long pid = started.get(FIRST_ROUTER).pid();
+        Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        Runnable collectGarbage = () -> {
+            try {
+                new ProcessBuilder(jcmd.toString(), "" + pid, "GC.run")
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .start()
+                        .waitFor();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException("jcmd failed: " + e.getMessage(), e);
+            }
+        };
+        int port = routerPorts.get(0);
+        try (Driver driver = Driver.create(vertx, "127.0.0.1", port, CALL_MS)) {
+            new TrafficCost(driver, () -> state(port), collectGarbage, requests).measure();
+        }
+    }
+
     private void startFleet() throws IOException, InterruptedException {
         int kvPort = Ports.free();
         int enginePort = Ports.free();
-        java(ToolsMain.class, "tools", "standin", "kv", "--port", "" + kvPort, "--control-port", "" + Ports.free());
-        java(ToolsMain.class, "tools", "standin", "engine", "--id", "shared", "--port", "" + enginePort);
+        standIn("kv", "--port", "" + kvPort, "--control-port", "" + Ports.free());
+        standIn(
+                "engine",
+                "--id",
+                "shared",
+                "--port",
+                "" + enginePort,
+                "--max-batch",
+                "100000",
+                "--prefill",
+                "100000000",
+                "--decode",
+                "20");
         for (int i = 0; i < routers; i++) {
-            int port = Ports.free();
-            int admin = Ports.free();
-            adminPort = i == 0 ? admin : adminPort;
-            routerPorts.add(port);
-            String file = write(
-                    "router-" + i,
-                    List.of(
-                            "[router]",
-                            "id = r" + i,
-                            "data_centre = local",
-                            "http_port = " + port,
-                            "admin_port = " + admin,
-                            "engines_per_pool = " + enginesPerPool,
-                            "[kv]",
-                            "port = " + kvPort,
-                            "lease_ttl_ms = 30000"));
-            java(RouterMain.class, "router", "run", "--config", file, "--log-level", "WARNING");
+            startRouter(i, kvPort);
         }
         for (int i = 0; i < agents; i++) {
-            int port = Ports.free();
-            agentPorts.add(port);
-            String file = write(
-                    "agent-" + i,
-                    List.of(
-                            "[agent]",
-                            "id = a" + i,
-                            "data_centre = local",
-                            "status_port = " + port,
-                            "peer_port = " + Ports.free(),
-                            "report_interval_ms = " + reportIntervalMs,
-                            "[target]",
-                            "id = e" + i,
-                            "pool = pool" + i % pools,
-                            "port = " + enginePort,
-                            "[kv]",
-                            "port = " + kvPort,
-                            "lease_ttl_ms = 60000"));
-            java(AgentMain.class, "agent", "run", "--config", file, "--log-level", "WARNING");
+            startAgent(i, kvPort, enginePort);
         }
         awaitAll(routerPorts);
         awaitAll(agentPorts);
@@ -168,6 +175,61 @@
         }
     }
 
+    private void standIn(String... args) throws IOException {
+        List<String> all = new ArrayList<>(List.of("standin"));
+        all.addAll(List.of(args));
+        java(ToolsMain.class, "tools", all.toArray(String[]::new));
+    }
+
+    private void startRouter(int i, int kvPort) throws IOException {
+        int port = Ports.free();
+        int admin = Ports.free();
+        adminPort = i == 0 ? admin : adminPort;
+        routerPorts.add(port);
+        run(
+                RouterMain.class,
+                "router",
+                i,
+                List.of(
+                        "[router]",
+                        "id = r" + i,
+                        "data_centre = local",
+                        "http_port = " + port,
+                        "admin_port = " + admin,
+                        "engines_per_pool = " + enginesPerPool,
+                        "[kv]",
+                        "port = " + kvPort,
+                        "lease_ttl_ms = 30000"));
+    }
+
+    private void startAgent(int i, int kvPort, int enginePort) throws IOException {
+        int port = Ports.free();
+        agentPorts.add(port);
+        run(
+                AgentMain.class,
+                "agent",
+                i,
+                List.of(
+                        "[agent]",
+                        "id = a" + i,
+                        "data_centre = local",
+                        "status_port = " + port,
+                        "peer_port = " + Ports.free(),
+                        "report_interval_ms = " + reportIntervalMs,
+                        "[target]",
+                        "id = e" + i,
+                        "pool = pool" + i % pools,
+                        "port = " + enginePort,
+                        "[kv]",
+                        "port = " + kvPort,
+                        "lease_ttl_ms = 60000"));
+    }
+
+    private void run(Class<?> main, String role, int i, List<String> settings) throws IOException {
+        Path file = Files.write(dir.resolve(role + "-" + i + ".ini"), settings);
+        java(main, role, "run", "--config", file.toString(), "--log-level", "WARNING");
+    }
+
     /** Starts a binary with the flags and environment of its script in {@code bin/}. */
     private void java(Class<?> main, String role, String... args) throws IOException {
         List<String> command = new ArrayList<>();
@@ -259,8 +321,4 @@
                 out / perSecond,
                 calls / perSecond);
     }
-
-    private String write(String name, List<String> lines) throws IOException {
-        return Files.write(dir.resolve(name + ".ini"), lines).toString();
-    }
 }
