Agent: one load question at a time, unreadable answers are not fatal; paused engine tested

Change: one question at a time with a limit of 1 s; whatever cannot be read counts as not reachable (logged on the change only); a planned stop waits drain_settle_ms also for an unreachable target. The VM list's answer is read the same way.

Tests: EnginePaused (SIGSTOP of an engine: no new work, comes back on SIGCONT).

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
@@ -33,6 +34,7 @@
 
     private static final Logger LOG = Logger.getLogger(AgentNode.class);
     private static final long DRAIN_POLL_MS = 50;
+    private static final int LOAD_TIMEOUT_MS = 1_000;
 
     private final AgentSettings settings;
     private final Vertx vertx;
@@ -48,6 +50,7 @@
     private JsonObject lastLoad = new JsonObject();
     private VmState vmState;
     private long pollTimer;
+    private boolean polling;
     private boolean targetReachable;
     private volatile boolean draining;
 
@@ -126,16 +129,46 @@
         return new PeerMessage.Hello(settings.agentId(), engine);
     }
 
+    /** Asks the target for its load, unless it still owes the last answer. */
     private void poll() {
-        target.request(HttpMethod.GET, settings.targetPort(), settings.targetHost(), "/load")
+        if (polling) {
+            return;
+        }
+        polling = true;
+        target.request(loadRequest())
                 .compose(req -> req.send().compose(resp -> resp.body()))
-                .onSuccess(body -> {
-                    targetReachable = true;
-                    lastLoad = new JsonObject(body.toString());
-                    refreshEngine(lastLoad);
-                    report();
-                })
-                .onFailure(e -> targetReachable = false);
+                .map(body -> heard(new JsonObject(body)))
+                .onComplete(r -> polling = false)
+                .onFailure(this::notHeard);
+    }
+
+    private RequestOptions loadRequest() {
+        return new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(settings.targetHost())
+                .setPort(settings.targetPort())
+                .setURI("/load")
+                .setConnectTimeout(LOAD_TIMEOUT_MS)
+                .setIdleTimeout(LOAD_TIMEOUT_MS);
+    }
+
+    private JsonObject heard(JsonObject load) {
+        refreshEngine(load);
+        lastLoad = load;
+        if (!targetReachable) {
+            LOG.infof("target reports its load target=%s", settings.targetId());
+        }
+        targetReachable = true;
+        report();
+        return load;
+    }
+
+    /** No load, or none that can be read: nothing is reported, so routers stop using the target. */
+    private void notHeard(Throwable e) {
+        if (targetReachable) {
+            LOG.warnf("target does not report its load target=%s error=%s", settings.targetId(), e.getMessage());
+        }
+        targetReachable = false;
     }
 
     private void refreshEngine(JsonObject load) {
@@ -211,13 +244,13 @@
                 .eventually(() -> vertx.close());
     }
 
-    /** Load is reported late, so the target counts as idle only once it has shown no work for a while. */
+    /** Load is late and may fail once: the target is idle only once it has shown no work for a while. */
     private void waitIdle(long idleSinceMs, long untilMs, Promise<Void> done) {
         long nowMs = MonotonicClock.nowMs();
         int busy = lastLoad.getInteger("running", 0) + lastLoad.getInteger("waiting", 0);
-        long since = busy == 0 ? idleSinceMs : nowMs;
+        long since = busy == 0 || !targetReachable ? idleSinceMs : nowMs;
         boolean settled = nowMs - since >= settings.drainSettleMs();
-        if (settled || nowMs >= untilMs || !targetReachable) {
+        if (settled || nowMs >= untilMs) {
             LOG.infof("agent drained id=%s busy=%d", settings.agentId(), busy);
             done.complete();
             return;
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/VmState.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/VmState.java
@@ -42,7 +42,8 @@
     private void look() {
         http.request(HttpMethod.GET, settings.vmListPort(), settings.vmListHost(), "/vms/" + settings.vmId())
                 .compose(req -> req.send().compose(resp -> resp.body()))
-                .onSuccess(body -> heard(new JsonObject(body).getString("state", "")));
+                .map(body -> new JsonObject(body).getString("state", ""))
+                .onSuccess(this::heard);
     }
 
     private void heard(String state) {
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
@@ -164,6 +164,30 @@
         }
     }
 
+    @Nested
+    class EnginePaused {
+
+        @Test
+        void getsNoNewWorkAndComesBackWhenItGoesOn() throws Exception {
+            site = TestSite.start("pause-engine")
+                    .engine("e1", "--decode", "100")
+                    .engine("e2", "--decode", "100")
+                    .router("r1")
+                    .ready(2);
+            Driver driver = site.driver("r1");
+            site.pause("e1");
+            TestSite.await("r1 takes the silent engine out", () -> silentMs("r1", "e1") > 1_600);
+            List<Outcome> meanwhile = all(start(driver, 6, 10));
+            site.resume("e1");
+            TestSite.await("r1 hears it again", () -> silentMs("r1", "e1") < 1_000);
+            assertThat(meanwhile.stream().map(Outcome::whole).toList(), everyItem(is(true)));
+            assertThat(site.stats("e1").getLong("requestsSeen"), equalTo(0L));
+            List<Outcome> after = all(start(driver, 8, 10));
+            assertThat(after.stream().map(Outcome::whole).toList(), everyItem(is(true)));
+            assertThat(site.stats("e1").getLong("requestsSeen"), greaterThan(0L));
+        }
+    }
+
     @Nested
     class PausedPastItsLease {
 
