--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Action.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Action.java
@@ -12,9 +12,9 @@
      * Send the request to an engine. Given at most once per request.
      *
      * @param spec the request
-     * @param engineId the chosen engine
+     * @param engine the chosen engine, as its agent last described it
      */
-    record Dispatch(RequestSpec spec, String engineId) implements Action {
+    record Dispatch(RequestSpec spec, EngineInfo engine) implements Action {
         @Override
         public String requestId() {
             return spec.requestId();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/Scheduler.java
@@ -411,7 +411,7 @@
         slot.add(new Running(
                 spec, slot.id(), nowMs, slot.nominalFirstTokenMs(spec, Set.of()), slot.nominalServiceMs(spec), false));
         engineOfRequest.put(spec.requestId(), slot.id());
-        return new Action.Dispatch(spec, slot.id());
+        return new Action.Dispatch(spec, slot.info());
     }
 
     private Action refuse(RequestSpec spec, RefusalReason reason, String detail, long retryAfterMs) {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
@@ -132,7 +132,7 @@
                 switch (a) {
                     case Action.Dispatch d -> {
                         running.get(router).put(d.requestId(), d.spec());
-                        engineOf.put(d.requestId(), d.engineId());
+                        engineOf.put(d.requestId(), d.engine().engineId());
                     }
                     case Action.Refuse r -> assertNothingLowerRuns(r);
                     case Action.Cancel c -> running.get(router).remove(c.requestId());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -64,7 +64,6 @@
     private final RequestIds ids;
     private final Scheduler scheduler;
     private final Map<String, Flight> flights = new HashMap<>();
-    private final Map<String, EngineInfo> engines = new TreeMap<>();
     private final Map<Long, String> roomAsks = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -256,11 +255,9 @@
 
     private void hello(PeerMessage.Hello hello) {
         EngineInfo info = hello.engine();
-        if (!info.equals(engines.put(info.engineId(), info))) {
-            LOG.infof(
-                    "engine joined engine=%s pool=%s agent=%s address=%s:%d",
-                    info.engineId(), info.pool(), hello.agentId(), info.host(), info.port());
-        }
+        LOG.infof(
+                "engine joined engine=%s pool=%s agent=%s address=%s:%d",
+                info.engineId(), info.pool(), hello.agentId(), info.host(), info.port());
         execute(scheduler.engineJoined(info, MonotonicClock.nowMs()));
     }
 
@@ -295,10 +292,8 @@
 
     private void execute(Action action, Flight f) {
         switch (action) {
-            case Action.Dispatch d -> {
-                EngineInfo engine = engines.get(d.engineId());
-                f.traffic().runOnContext(v -> f.dispatcher().dispatch(f, engine));
-            }
+            case Action.Dispatch d ->
+                f.traffic().runOnContext(v -> f.dispatcher().dispatch(f, d.engine()));
             case Action.Refuse r -> {
                 flights.remove(r.requestId());
                 claims.ended(r.requestId(), false);
