Remove what the change left dead: lease fencing tokens, the end's outcome

Since order leases carry their own token (OrderService), LeaseKeeper's fencing token and its callback were heard by nobody: both callers passed an empty handler. ControlPlane.ended took an outcome nobody read.

Change: both are gone; every call says only whether any of the request was sent. No behaviour, bound or assertion changes; the log line of a held lease names the store's revision.

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -116,8 +116,7 @@
                 kv,
                 KvKeys.AGENTS + settings.pool() + "/" + settings.targetId(),
                 address.getBytes(StandardCharsets.UTF_8),
-                settings.leaseTtlMs(),
-                token -> {});
+                settings.leaseTtlMs());
     }
 
     private void leavingChanged(boolean leaving) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -159,8 +159,7 @@
                 kv,
                 KvKeys.ROUTERS + settings.routerId(),
                 address.getBytes(StandardCharsets.UTF_8),
-                settings.leaseTtlMs(),
-                token -> {});
+                settings.leaseTtlMs());
     }
 
     private Future<HttpServer> startAdmin() {
@@ -225,7 +224,7 @@
     }
 
     @Override
-    public void ended(String requestId, boolean sent, RefusalReason outcome) {
+    public void ended(String requestId, boolean sent) {
         control.runOnContext(v -> {
             flights.remove(requestId);
             claims.ended(requestId, sent);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/ControlPlane.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/ControlPlane.java
@@ -1,7 +1,5 @@
 package org.onyxhinge.router.dispatch;
 
-import org.onyxhinge.core.schedule.RefusalReason;
-
 /** What traffic threads tell the router's control thread. Implementations hop to the control context. */
 public interface ControlPlane {
 
@@ -21,7 +19,6 @@
      *
      * @param requestId the request
      * @param sent true when any of it was sent to an engine
-     * @param outcome null when completed whole, else why it ended
      */
-    void ended(String requestId, boolean sent, RefusalReason outcome);
+    void ended(String requestId, boolean sent);
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -51,7 +51,7 @@
     /** Sends the flight to the engine. Call on the flight's traffic context. */
     public void dispatch(Flight f, EngineInfo engine) {
         if (!f.machine.tryFire("dispatch")) {
-            control.ended(f.spec.requestId(), false, RefusalReason.CALLER_GONE);
+            control.ended(f.spec.requestId(), false);
             return;
         }
         f.dispatchedNs = System.nanoTime();
@@ -114,7 +114,7 @@
                     f.spec.requestId(),
                     Refusal.of(RefusalReason.DEADLINE_UNREACHABLE, r.detail() + "; not run", r.retryAfterMs()));
         }
-        control.ended(f.spec.requestId(), f.sent, r.reason());
+        control.ended(f.spec.requestId(), f.sent);
     }
 
     private void stop(Flight f, Refusal r) {
@@ -129,7 +129,7 @@
     public void abandoned(Flight f) {
         if (f.machine.tryFire("abandon")) {
             stopUpstream(f);
-            control.ended(f.spec.requestId(), f.sent, RefusalReason.CALLER_GONE);
+            control.ended(f.spec.requestId(), f.sent);
         }
     }
 
@@ -247,7 +247,7 @@
         long firstMs = (f.firstTokenNs - f.arrivedNs) / 1_000_000;
         boolean inTime = firstMs <= f.spec.tier().firstTokenBudgetMs() && nowMs <= f.spec.dueAtMs();
         metrics.delivered(f.spec.tier().name(), inTime);
-        control.ended(f.spec.requestId(), true, null);
+        control.ended(f.spec.requestId(), true);
     }
 
     private void failed(Flight f, String why) {
@@ -260,7 +260,7 @@
         metrics.refused(r.reason());
         stopUpstream(f);
         endPartial(f, r);
-        control.ended(f.spec.requestId(), true, r.reason());
+        control.ended(f.spec.requestId(), true);
     }
 
     private void endPartial(Flight f, Refusal r) {
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
@@ -196,7 +196,7 @@
         }
 
         @Override
-        public void ended(String requestId, boolean sent, RefusalReason outcome) {
+        public void ended(String requestId, boolean sent) {
             if (!sent) {
                 notRun.add(requestId);
             }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
@@ -1,7 +1,5 @@
 package org.onyxhinge.wire.kv;
 
-import java.util.function.LongConsumer;
-
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
@@ -10,9 +8,7 @@
 /**
  * Holds one key under a lease in the key-value service: grants the lease, writes the key, sends a
  * keep-alive every third of the time to live, and when the lease has lapsed (the service forgot it
- * during a pause or an outage) starts again with a new lease. Each successful write gives a new
- * fencing token, the key's revision, which only grows; orders carry it so a holder that was paused
- * past its lease cannot act on a stale belief.
+ * during a pause or an outage) starts again with a new lease.
  *
  * <p>Runs on the key-value client's context.
  */
@@ -27,28 +23,24 @@
     private final String key;
     private final byte[] value;
     private final long ttlMs;
-    private final LongConsumer onToken;
     private long leaseId;
     private long validUntilMs;
     private boolean registering;
     private long retryMs = FIRST_RETRY_MS;
-    private long fencingToken;
     private long timerId = -1;
     private boolean closed;
 
-    private LeaseKeeper(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
+    private LeaseKeeper(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs) {
         this.vertx = vertx;
         this.kv = kv;
         this.key = key;
         this.value = value;
         this.ttlMs = ttlMs;
-        this.onToken = onToken;
     }
 
-    /** Starts holding {@code key}; {@code onToken} hears each new fencing token. */
-    public static LeaseKeeper hold(
-            Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs, LongConsumer onToken) {
-        return new LeaseKeeper(vertx, kv, key, value, ttlMs, onToken).started();
+    /** Starts holding {@code key} with {@code value}. */
+    public static LeaseKeeper hold(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs) {
+        return new LeaseKeeper(vertx, kv, key, value, ttlMs).started();
     }
 
     private LeaseKeeper started() {
@@ -57,11 +49,6 @@
         return this;
     }
 
-    /** The current fencing token, 0 before the first write. */
-    public long fencingToken() {
-        return fencingToken;
-    }
-
     /**
      * True while the lease is certain to be held: counted from before the call that last renewed it was
      * sent, so a holder that was paused past its lease knows at once that it may have lapsed.
@@ -96,9 +83,7 @@
     private KvMessage.Reply registered(long newLeaseId, KvMessage.Reply put, long sentAtMs) {
         leaseId = newLeaseId;
         validUntilMs = sentAtMs + ttlMs;
-        fencingToken = put.entries().get(0).modRevision();
-        LOG.infof("lease held key=%s lease=%d fencingToken=%d", key, leaseId, fencingToken);
-        onToken.accept(fencingToken);
+        LOG.infof("lease held key=%s lease=%d revision=%d", key, leaseId, put.revision());
         return put;
     }
 
