--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
@@ -0,0 +1,54 @@
+package org.onyxhinge.core.limit;
+
+import java.util.Arrays;
+
+/**
+ * How many events fell into the last window, counted in equal slices. A slice leaves only once all of it
+ * is older than the window, so the count is never below the true one.
+ */
+public final class SlidingCount {
+
+    /** Slices of a window: the count covers at most one tenth more than the window. */
+    private static final int SLICES = 10;
+
+    private final long sliceMs;
+    private final long[] counts = new long[SLICES + 1];
+    private long newestSlice = Long.MIN_VALUE;
+
+    private SlidingCount(long windowMs) {
+        this.sliceMs = Math.max(1, windowMs / SLICES);
+    }
+
+    /** Creates an empty count over {@code windowMs}. */
+    public static SlidingCount over(long windowMs) {
+        return new SlidingCount(windowMs);
+    }
+
+    /** Counts one event. */
+    public void add(long nowMs) {
+        advance(nowMs);
+        counts[slot(newestSlice)]++;
+    }
+
+    /** Events in the window that ends now. */
+    public long total(long nowMs) {
+        advance(nowMs);
+        return Arrays.stream(counts).sum();
+    }
+
+    private void advance(long nowMs) {
+        long slice = Math.floorDiv(nowMs, sliceMs);
+        if (newestSlice == Long.MIN_VALUE || slice - newestSlice > SLICES) {
+            Arrays.fill(counts, 0);
+            newestSlice = slice;
+        }
+        while (newestSlice < slice) {
+            newestSlice++;
+            counts[slot(newestSlice)] = 0;
+        }
+    }
+
+    private int slot(long slice) {
+        return (int) Math.floorMod(slice, (long) counts.length);
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -0,0 +1,136 @@
+package org.onyxhinge.core.place;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * One call that wants a target. Its identity is the object: a caller's request that is sent to a second
+ * target makes a second call.
+ */
+public final class Call {
+
+    private final String service;
+    private final int rank;
+    private final boolean returned;
+    private final long arrivedAtMs;
+    private final long onTimeUntilMs;
+    private final long holdUntilMs;
+    private final long promptTokens;
+    private final long outputEvents;
+    private final Set<String> avoid = new HashSet<>();
+
+    private Call(Builder b) {
+        this.service = b.service;
+        this.rank = b.rank;
+        this.returned = b.returned;
+        this.arrivedAtMs = b.arrivedAtMs;
+        this.onTimeUntilMs = b.onTimeUntilMs;
+        this.holdUntilMs = b.holdUntilMs;
+        this.promptTokens = b.promptTokens;
+        this.outputEvents = b.outputEvents;
+        this.avoid.addAll(b.avoid);
+    }
+
+    /** Starts a call of a service that arrived at {@code arrivedAtMs}. */
+    public static Builder of(String service, long arrivedAtMs) {
+        return new Builder(service, arrivedAtMs);
+    }
+
+    /** The service it asks for. */
+    public String service() {
+        return service;
+    }
+
+    /** Its rank, 0 the most urgent. */
+    public int rank() {
+        return rank;
+    }
+
+    /** Whether its caller was refused before and came back. */
+    public boolean returned() {
+        return returned;
+    }
+
+    /** When it arrived. */
+    public long arrivedAtMs() {
+        return arrivedAtMs;
+    }
+
+    /** Until when its first byte is on time. */
+    public long onTimeUntilMs() {
+        return onTimeUntilMs;
+    }
+
+    /** Until when it may wait for a target. */
+    public long holdUntilMs() {
+        return holdUntilMs;
+    }
+
+    /** Tokens of its prompt; 0 for a plain call. */
+    public long promptTokens() {
+        return promptTokens;
+    }
+
+    /** Events its answer is expected to have; 0 for a plain call. */
+    public long outputEvents() {
+        return outputEvents;
+    }
+
+    /** Targets it must not go to again. */
+    public Set<String> avoid() {
+        return avoid;
+    }
+
+    /** Collects a call's fields. */
+    public static final class Builder {
+
+        private final String service;
+        private final long arrivedAtMs;
+        private final Set<String> avoid = new HashSet<>();
+        private int rank;
+        private boolean returned;
+        private long onTimeUntilMs;
+        private long holdUntilMs;
+        private long promptTokens;
+        private long outputEvents;
+
+        private Builder(String service, long arrivedAtMs) {
+            this.service = service;
+            this.arrivedAtMs = arrivedAtMs;
+            this.onTimeUntilMs = arrivedAtMs;
+            this.holdUntilMs = arrivedAtMs;
+        }
+
+        /** Sets the rank and whether its caller came back. */
+        public Builder rank(int value, boolean cameBack) {
+            rank = value;
+            returned = cameBack;
+            return this;
+        }
+
+        /** Sets until when it is on time and until when it may wait. */
+        public Builder times(long onTimeMs, long holdMs) {
+            onTimeUntilMs = onTimeMs;
+            holdUntilMs = holdMs;
+            return this;
+        }
+
+        /** Sets the size of its work. */
+        public Builder work(long tokens, long events) {
+            promptTokens = tokens;
+            outputEvents = events;
+            return this;
+        }
+
+        /** Names targets it must not go to. */
+        public Builder avoid(Set<String> targetIds) {
+            avoid.addAll(targetIds);
+            return this;
+        }
+
+        /** Makes the call. */
+        public Call build() {
+            return new Call(this);
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -0,0 +1,244 @@
+package org.onyxhinge.core.place;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Decides for one router where calls go, which wait and which are refused. Targets run a bounded number
+ * of requests at once and know no ranks, so nothing is sent beyond that bound and the router keeps the
+ * queue, by rank. A call is refused at once when the queue says it would wait too long.
+ *
+ * <p>Not thread-safe: one thread owns it. Times are milliseconds of one monotonic clock.
+ */
+public final class Placement {
+
+    /** A refused caller is asked to stay away at least this long, or it would meet the same queue. */
+    private static final long SHORTEST_RETRY_MS = 300;
+
+    /** Longest time to stay away: bursts last seconds, and callers' deadlines are a few of them. */
+    private static final long LONGEST_RETRY_MS = 4_000;
+
+    private static final long NO_TARGET_RETRY_MS = 1_000;
+    private static final double MS_PER_SECOND = 1_000;
+    /** Part of the drain rate that is always assumed left for a rank, so that an estimate stays finite. */
+    private static final double LEAST_DRAIN_PART = 0.05;
+
+    private final String dataCentre;
+    private final Map<String, ServiceTargets> services = new HashMap<>();
+    private final Map<String, TargetState> targets = new HashMap<>();
+    private final Map<String, WaitingCalls> waiting = new HashMap<>();
+    private final Map<String, Rate> drained = new HashMap<>();
+    private final Map<String, Map<Integer, Rate>> arrivals = new HashMap<>();
+    private final Map<String, Map<String, TargetUse>> peerUses = new HashMap<>();
+
+    private Placement(String dataCentre) {
+        this.dataCentre = dataCentre;
+    }
+
+    /** Creates a placement without targets, for a router in {@code dataCentre}. */
+    public static Placement create(String dataCentre) {
+        return new Placement(dataCentre);
+    }
+
+    /** Takes a registry entry in: a new target, or a change of a known one. */
+    public void targetSeen(Target info) {
+        TargetState known = targets.get(info.id());
+        if (known != null) {
+            known.update(info);
+            return;
+        }
+        ServiceTargets service = services.computeIfAbsent(info.service(), s -> new ServiceTargets(s, dataCentre));
+        TargetState fresh = new TargetState(service, info);
+        service.targets().add(fresh);
+        targets.put(info.id(), fresh);
+        peerUses.forEach((peer, uses) -> fresh.peerUse(peer, uses.get(info.id())));
+    }
+
+    /** Takes out a target that is no longer registered; calls that run there go on. */
+    public void targetGone(String id) {
+        TargetState known = targets.remove(id);
+        if (known != null) {
+            known.markGone();
+            known.service().targets().remove(known);
+        }
+    }
+
+    /** Every target, for dumps and for the peers. */
+    public Collection<TargetState> targets() {
+        return targets.values();
+    }
+
+    /** A target by id. */
+    public Optional<TargetState> target(String id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    /** Takes in what a peer has running, in place of what it said before; empty once it is gone. */
+    public void peerUses(String peer, Map<String, TargetUse> uses) {
+        Map<String, TargetUse> before = uses.isEmpty() ? peerUses.remove(peer) : peerUses.put(peer, uses);
+        if (before != null) {
+            Set<String> dropped = new java.util.HashSet<>(before.keySet());
+            dropped.removeAll(uses.keySet());
+            dropped.forEach(id -> target(id).ifPresent(t -> t.peerUse(peer, null)));
+        }
+        uses.forEach((id, use) -> target(id).ifPresent(t -> t.peerUse(peer, use)));
+    }
+
+    /** A call that arrives: it is sent, waits, or is refused at once. */
+    public Verdict submit(Call call, long nowMs) {
+        ServiceTargets service = services.get(call.service());
+        if (service == null || !service.anyTakesCalls()) {
+            return new Verdict.Refuse(call, Verdict.Reason.NO_TARGET, NO_TARGET_RETRY_MS);
+        }
+        arrivalRate(call).event(nowMs);
+        WaitingCalls queue = queue(call.service());
+        if (queue.ahead(call.rank()) == 0) {
+            Optional<TargetState> free = service.best(call, nowMs);
+            if (free.isPresent()) {
+                return send(call, free.get(), nowMs);
+            }
+        }
+        long waitMs = expectedWaitMs(call, nowMs);
+        if (nowMs + waitMs > call.holdUntilMs()) {
+            return new Verdict.Refuse(call, Verdict.Reason.BUSY, retryAfterMs(waitMs));
+        }
+        queue.add(call);
+        return new Verdict.Wait(call);
+    }
+
+    /** Sends what there is room for now and refuses what has waited too long. */
+    public List<Verdict> pump(long nowMs) {
+        List<Verdict> out = new ArrayList<>();
+        waiting.forEach((name, queue) -> pump(services.get(name), queue, nowMs, out));
+        return out;
+    }
+
+    private void pump(ServiceTargets service, WaitingCalls queue, long nowMs, List<Verdict> out) {
+        boolean room = true;
+        for (Iterator<Call> it = queue.iterator(); it.hasNext(); ) {
+            Call call = it.next();
+            if (nowMs >= call.holdUntilMs()) {
+                it.remove();
+                long waitMs = expectedWaitMs(call, nowMs);
+                out.add(new Verdict.Refuse(call, Verdict.Reason.WAITED, retryAfterMs(waitMs)));
+                continue;
+            }
+            Optional<TargetState> free = room ? service.best(call, nowMs) : Optional.empty();
+            if (free.isPresent()) {
+                it.remove();
+                out.add(send(call, free.get(), nowMs));
+            } else if (call.avoid().isEmpty()) {
+                room = false;
+            }
+        }
+    }
+
+    /** Takes a waiting call out: its caller has left. */
+    public void withdraw(Call call) {
+        queue(call.service()).remove(call);
+    }
+
+    /**
+     * Notes the first byte of an answer.
+     *
+     * @param tookMs time since the call was sent
+     * @param tokensToRead prompt tokens to be read before it when it was sent, its own included
+     */
+    public void firstByte(Call call, TargetState target, double tookMs, long tokensToRead) {
+        target.learnFirstByte(tookMs, call.promptTokens() == 0 ? 0 : tokensToRead);
+        target.prefilled(call);
+    }
+
+    /**
+     * Notes that a call is over at a target.
+     *
+     * @param prefilled whether {@link #firstByte} was called for it
+     */
+    public void ended(Call call, TargetState target, boolean prefilled, long nowMs) {
+        if (!prefilled) {
+            target.prefilled(call);
+        }
+        target.ended();
+        drainRate(call.service()).event(nowMs);
+    }
+
+    /** Notes that a target answered. */
+    public void answered(TargetState target, boolean good, long nowMs) {
+        target.health().answered(good, nowMs);
+    }
+
+    /** Notes bytes of an answer in progress. */
+    public void heard(TargetState target, long nowMs) {
+        target.health().heard(nowMs);
+    }
+
+    /** Notes that a call broke off at a target. */
+    public void broken(TargetState target) {
+        target.health().broken();
+    }
+
+    /** Notes that a target could not be reached, or has fallen silent. */
+    public void unreachable(TargetState target, long nowMs) {
+        target.health().unreachable(nowMs);
+    }
+
+    /** Notes that a target turned a call away as full: its own queue is longer than what is known here. */
+    public void shed(TargetState target, long nowMs) {
+        target.health().shed(nowMs);
+    }
+
+    /** When bytes last came from a target; 0 for never. */
+    public long heardAtMs(TargetState target) {
+        return target.health().heardAtMs();
+    }
+
+    /** Calls waiting, by service, for dumps. */
+    public Map<String, Integer> waitingByService() {
+        Map<String, Integer> out = new TreeMap<>();
+        waiting.forEach((name, queue) -> out.put(name, queue.size()));
+        return out;
+    }
+
+    private Verdict send(Call call, TargetState target, long nowMs) {
+        target.started(call);
+        return new Verdict.Send(call, target);
+    }
+
+    /**
+     * How long a call would wait: those ahead of it over the rate at which places fall free, less what
+     * arrivals of more urgent ranks will take meanwhile.
+     */
+    private long expectedWaitMs(Call call, long nowMs) {
+        double drain = drainRate(call.service()).perSecond(nowMs);
+        double urgent = 0;
+        for (Map.Entry<Integer, Rate> e : arrivals.get(call.service()).entrySet()) {
+            urgent += e.getKey() < call.rank() ? e.getValue().perSecond(nowMs) : 0;
+        }
+        double left = Math.max(drain - urgent, Math.max(drain * LEAST_DRAIN_PART, LEAST_DRAIN_PART));
+        return (long) ((queue(call.service()).ahead(call.rank()) + 1) / left * MS_PER_SECOND);
+    }
+
+    private static long retryAfterMs(long waitMs) {
+        return Math.max(SHORTEST_RETRY_MS, Math.min(LONGEST_RETRY_MS, waitMs));
+    }
+
+    private WaitingCalls queue(String service) {
+        return waiting.computeIfAbsent(service, s -> new WaitingCalls());
+    }
+
+    private Rate drainRate(String service) {
+        return drained.computeIfAbsent(service, s -> new Rate());
+    }
+
+    private Rate arrivalRate(Call call) {
+        return arrivals.computeIfAbsent(call.service(), s -> new TreeMap<>())
+                .computeIfAbsent(call.rank(), r -> new Rate());
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -0,0 +1,132 @@
+package org.onyxhinge.core.place;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** The targets of one service, and what is lately true of all of them together. */
+final class ServiceTargets {
+
+    /** Prompts below this say more of a step's time than of the speed of reading. */
+    static final long TELLING_PROMPT_TOKENS = 500;
+
+    /** Where learning starts; a few answers replace each. */
+    private static final double FIRST_GAP_MS = 25;
+
+    private static final double FIRST_PREFILL_MS_PER_TOKEN = 0.03;
+    private static final double FIRST_PLAIN_MS = 50;
+
+    /** A target is set aside when it fails this much more often than its service does. */
+    private static final double OUTLIER_RATE = 0.2;
+
+    private static final double OUTLIER_FACTOR = 2.0;
+    /** At most this part of a service is set aside, so an ailing service is never left with nothing. */
+    private static final double SET_ASIDE_PART = 0.34;
+
+    /**
+     * What the path to another data centre costs against the time of an answer, as a part: bytes between
+     * data centres are billed, and a slightly slower answer from near by is worth the same.
+     */
+    private static final double FAR_COST = 0.25;
+
+    private static final double FAR_COST_MS = 10;
+
+    private final String name;
+    private final String dataCentre;
+    private final List<TargetState> targets = new ArrayList<>();
+    private final Pace gapMs = Pace.startingAt(FIRST_GAP_MS);
+    private final Pace prefillMs = Pace.startingAt(FIRST_PREFILL_MS_PER_TOKEN);
+    private final Pace plainMs = Pace.startingAt(FIRST_PLAIN_MS);
+
+    ServiceTargets(String name, String dataCentre) {
+        this.name = name;
+        this.dataCentre = dataCentre;
+    }
+
+    String name() {
+        return name;
+    }
+
+    List<TargetState> targets() {
+        return targets;
+    }
+
+    Pace gapMs() {
+        return gapMs;
+    }
+
+    Pace prefillMs() {
+        return prefillMs;
+    }
+
+    Pace plainMs() {
+        return plainMs;
+    }
+
+    /** The target where a call's answer is expected to end soonest, the way there counted in. */
+    Optional<TargetState> best(Call call, long nowMs) {
+        TargetState best = null;
+        double bestCost = Double.MAX_VALUE;
+        double meanFailures = meanFailureRate();
+        int mayBeSetAside = (int) (targets.size() * SET_ASIDE_PART);
+        for (TargetState t : targets) {
+            if (!t.hasRoom(nowMs) || call.avoid().contains(t.info().id())) {
+                continue;
+            }
+            double cost = cost(call, t);
+            if (isOutlier(t, meanFailures) && mayBeSetAside-- > 0) {
+                cost += SET_ASIDE_COST_MS;
+            }
+            if (cost < bestCost) {
+                best = t;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Makes a target that is set aside the last choice, not no choice. */
+    private static final double SET_ASIDE_COST_MS = 1e6;
+
+    private double cost(Call call, TargetState t) {
+        double ms = t.lastByteMs(call);
+        boolean near = t.info().dataCentre().equals(dataCentre);
+        return near ? ms : ms * (1 + FAR_COST) + FAR_COST_MS;
+    }
+
+    private static boolean isOutlier(TargetState t, double meanFailures) {
+        return t.failureRate() > OUTLIER_RATE && t.failureRate() > meanFailures * OUTLIER_FACTOR;
+    }
+
+    private double meanFailureRate() {
+        double sum = 0;
+        for (TargetState t : targets) {
+            sum += t.failureRate();
+        }
+        return targets.isEmpty() ? 0 : sum / targets.size();
+    }
+
+    /** Slots of targets that take calls. */
+    int slots() {
+        int n = 0;
+        for (TargetState t : targets) {
+            n += t.takesCalls() ? t.info().slots() : 0;
+        }
+        return n;
+    }
+
+    boolean anyTakesCalls() {
+        return targets.stream().anyMatch(TargetState::takesCalls);
+    }
+
+    /** The soonest first byte on any target that takes calls, were a slot free there. */
+    double soonestFirstByteMs(Call call) {
+        double soonest = Double.MAX_VALUE;
+        for (TargetState t : targets) {
+            if (t.takesCalls()) {
+                soonest = Math.min(soonest, t.firstByteMs(call));
+            }
+        }
+        return soonest;
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ServiceShare.java
@@ -0,0 +1,17 @@
+package org.onyxhinge.core.route;
+
+/**
+ * One service's part of a route's traffic.
+ *
+ * @param service the service
+ * @param weight its weight against the route's other shares
+ */
+public record ServiceShare(String service, int weight) {
+
+    /** Checks the weight. */
+    public ServiceShare {
+        if (weight < 0) {
+            throw new IllegalArgumentException("weight of service " + service + " must not be negative: " + weight);
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -0,0 +1,62 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Optional;
+
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.route.ForwardingConfig;
+import org.onyxhinge.core.route.Route;
+import org.onyxhinge.core.route.WorkspaceAccess;
+
+/** What is logged and counted of one call when it ends: one line, by its id. */
+final class CallRecord {
+
+    private static final Logger LOG = Logger.getLogger("call");
+
+    String requestId = "";
+    String target = "";
+    long sentAfterMs = -1;
+    long firstByteMs = -1;
+    int sends;
+    int events;
+    private final StringBuilder troubles = new StringBuilder();
+
+    /** Notes trouble with a target, for the line. */
+    void note(String targetId, String what) {
+        if (troubles.length() > 0) {
+            troubles.append("; ");
+        }
+        troubles.append(targetId).append(": ").append(what);
+    }
+
+    void finish(
+            Forwarder forwarder,
+            Route route,
+            Optional<WorkspaceAccess> workspace,
+            ForwardingConfig config,
+            long tookMs,
+            String outcome,
+            String why) {
+        String routeName = route == null ? "none" : route.name();
+        forwarder.metrics().ended(routeName, outcome);
+        if (firstByteMs >= 0) {
+            forwarder.metrics().firstByteMs(routeName, firstByteMs);
+            forwarder.metrics().wholeMs(routeName, tookMs);
+        }
+        LOG.infof(
+                "call id=%s outcome=%s why=\"%s\" route=%s workspace=%s target=%s sends=%d sentAfterMs=%d"
+                        + " firstByteMs=%d tookMs=%d config=%d proofAgeMs=%d troubles=\"%s\"",
+                requestId,
+                outcome,
+                why,
+                routeName,
+                workspace.map(WorkspaceAccess::name).orElse(""),
+                target,
+                sends,
+                sentAfterMs,
+                firstByteMs,
+                tookMs,
+                config == null ? -1 : config.version(),
+                forwarder.freshness().ageMs(),
+                troubles);
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -0,0 +1,100 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+/** The caller's end of a call: writes exactly one answer, whole or recognisably broken off. */
+final class CallerSide {
+
+    private final HttpServerRequest request;
+    private final HttpServerResponse response;
+    private final BooleanSupplier draining;
+
+    CallerSide(HttpServerRequest request, BooleanSupplier draining) {
+        this.request = request;
+        this.response = request.response();
+        this.draining = draining;
+    }
+
+    boolean headSent() {
+        return response.headWritten();
+    }
+
+    /** Passes a whole answer on. */
+    void answer(int status, HttpClientResponse from, Buffer body) {
+        copyHead(status, from);
+        if (request.method() == HttpMethod.HEAD || status == 204 || status == 304) {
+            response.end();
+        } else {
+            response.end(body);
+        }
+    }
+
+    /** Passes the head of a stream on. */
+    void beginStream(int status, HttpClientResponse from) {
+        copyHead(status, from);
+        response.setChunked(true);
+    }
+
+    private void copyHead(int status, HttpClientResponse from) {
+        response.setStatusCode(status);
+        if (from.statusMessage() != null && !from.statusMessage().isEmpty()) {
+            response.setStatusMessage(from.statusMessage());
+        }
+        HopHeaders.copy(from.headers(), response.headers(), Set.of());
+        closeWhenDraining();
+    }
+
+    /** Writes bytes of a stream; true when the caller does not keep up. */
+    boolean write(Buffer bytes) {
+        response.write(bytes);
+        return response.writeQueueFull();
+    }
+
+    void onDrain(Runnable resume) {
+        response.drainHandler(v -> resume.run());
+    }
+
+    void endStream() {
+        response.end();
+    }
+
+    /** Answers a call that has not run, with when to come back in seconds (RFC 9110, section 10.2.3). */
+    void refuse(int status, String why, double retryAfterSeconds) {
+        if (response.ended() || response.headWritten()) {
+            return;
+        }
+        response.setStatusCode(status);
+        if (retryAfterSeconds > 0) {
+            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+        }
+        closeWhenDraining();
+        response.end("not run: " + why + "\n");
+    }
+
+    void fail(int status, String message) {
+        if (!response.ended() && !response.headWritten()) {
+            response.setStatusCode(status);
+            closeWhenDraining();
+            response.end(message + "\n");
+        }
+    }
+
+    /** Breaks off an answer that has begun. */
+    void cutOff() {
+        request.connection().close();
+    }
+
+    private void closeWhenDraining() {
+        if (draining.getAsBoolean()) {
+            response.putHeader("Connection", "close");
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -0,0 +1,355 @@
+package org.onyxhinge.router.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.limit.RetryBudget;
+import org.onyxhinge.core.place.Call;
+import org.onyxhinge.core.place.Placement;
+import org.onyxhinge.core.place.Target;
+import org.onyxhinge.core.place.TargetState;
+import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.core.place.Verdict;
+import org.onyxhinge.core.route.ForwardingConfig;
+import org.onyxhinge.core.route.TargetService;
+import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.peer.PeerMessage;
+
+/**
+ * A forwarding router: callers' HTTP on one side, targets on the other, and between them the placement,
+ * the quotas and the retry budget. All of it lives on one event loop; the public methods may be called
+ * from any thread.
+ */
+public final class Forwarder {
+
+    /** Refused callers are spread over this part of the time they are told, so that they don't meet again. */
+    static final double RETRY_SPREAD = 0.5;
+
+    private static final Logger LOG = Logger.getLogger(Forwarder.class);
+    private static final long PUMP_MS = 10;
+    private static final long SWEEP_MS = 100;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int ACCEPT_BACKLOG = 1_024;
+    /** What a target that turned a call away is given to work off its queue. */
+    private static final long SHED_RETRY_MS = 500;
+
+    private final Vertx vertx;
+    private final ForwardingSettings settings;
+    private final CallProtocol protocol;
+    private final ForwardingMetrics metrics;
+    private final Placement placement;
+    private final WorkspaceQuotas quotas = new WorkspaceQuotas();
+    private final RetryBudget retries;
+    private final Freshness freshness;
+    private final AnswerLengths lengths = new AnswerLengths();
+    private final TargetConnections connections;
+    private final Set<Attempt> attempts = new HashSet<>();
+    private final Set<Exchange> exchanges = new HashSet<>();
+    private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
+    private final CallerConnections callers = new CallerConnections();
+    private final Map<String, String> peerLives = new HashMap<>();
+    private Context context;
+    private RouterPeers peers;
+    private HttpServer server;
+    private boolean pumping;
+    private volatile ForwardingConfig config;
+    private volatile boolean draining;
+
+    private Forwarder(
+            Vertx vertx, ForwardingSettings settings, CallProtocol protocol, Freshness freshness, MetricRegistry m) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.protocol = protocol;
+        this.freshness = freshness;
+        this.metrics = ForwardingMetrics.create(m);
+        this.placement = Placement.create(settings.dataCentre());
+        this.retries =
+                RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
+        this.connections = TargetConnections.create(vertx);
+    }
+
+    /** Starts listening for callers and other routers; it refuses calls until it has a configuration. */
+    public static Future<Forwarder> start(
+            Vertx vertx,
+            ForwardingSettings settings,
+            CallProtocol protocol,
+            Freshness freshness,
+            MetricRegistry registry) {
+        Forwarder f = new Forwarder(vertx, settings, protocol, freshness, registry);
+        Promise<Forwarder> started = Promise.promise();
+        f.context = vertx.getOrCreateContext();
+        f.context.runOnContext(v -> f.listen().onComplete(started));
+        return started.future();
+    }
+
+    private Future<Forwarder> listen() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setAcceptBacklog(ACCEPT_BACKLOG)
+                .setTcpNoDelay(true)
+                .setCompressionSupported(false);
+        server = vertx.createHttpServer(options)
+                .connectionHandler(callers::opened)
+                .exceptionHandler(e -> LOG.debugf("caller connection error=%s", e.getMessage()))
+                .invalidRequestHandler(this::malformed)
+                .requestHandler(this::request);
+        return RouterPeers.start(vertx, settings, this::ownUses, quotas::totals, this::usageHeard)
+                .compose(p -> {
+                    peers = p;
+                    return server.listen(settings.port(), settings.host());
+                })
+                .map(s -> {
+                    vertx.setPeriodic(PUMP_MS, t -> pumpIfWaiting());
+                    vertx.setPeriodic(SWEEP_MS, t -> sweep());
+                    return this;
+                });
+    }
+
+    private void malformed(HttpServerRequest request) {
+        metrics.event("callers.malformed");
+        HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
+    }
+
+    private void request(HttpServerRequest request) {
+        callers.used(request.connection());
+        Exchange.begin(this, request);
+    }
+
+    /** Notes that a caller's request has its final answer. */
+    void ended(Exchange exchange, HttpConnection connection) {
+        exchanges.remove(exchange);
+        callers.freed(connection);
+    }
+
+    /** Puts a newer configuration in force. */
+    public void configure(ForwardingConfig newer) {
+        ForwardingConfig before = config;
+        config = newer;
+        LOG.infof(
+                "config in force version=%d before=%d routes=%d",
+                newer.version(), before == null ? -1 : before.version(), newer.routes().size());
+    }
+
+    /** Takes a registry entry of a target in. */
+    public void targetSeen(Target target) {
+        context.runOnContext(v -> {
+            placement.targetSeen(target);
+            pumpSoon();
+        });
+    }
+
+    /** Takes a target out that is no longer registered. */
+    public void targetGone(String id) {
+        context.runOnContext(v -> placement.targetGone(id));
+    }
+
+    /** Takes a router in that is registered at {@code address}, HOST:PORT. */
+    public void routerSeen(String routerId, String address) {
+        context.runOnContext(v -> peers.registered(routerId, address));
+    }
+
+    /** Notes that a router is no longer registered. */
+    public void routerGone(String routerId) {
+        context.runOnContext(v -> peers.unregistered(routerId));
+    }
+
+    /** True when callers' calls can be served. */
+    public boolean ready() {
+        return config != null && !draining && freshness.holds();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /**
+     * Planned stop: new connections are still served until the balancer has taken this router out, every
+     * answer closes its connection, and what is in progress has the grace to finish.
+     */
+    public Future<Void> drain() {
+        Promise<Void> done = Promise.promise();
+        draining = true;
+        long stopAtMs = MonotonicClock.nowMs();
+        LOG.infof("draining started graceMs=%d", settings.graceMs());
+        context.runOnContext(v -> vertx.setPeriodic(SWEEP_MS, t -> {
+            long tookMs = MonotonicClock.nowMs() - stopAtMs;
+            if (tookMs > DRAIN_ACCEPT_MS) {
+                callers.closeIdle();
+            }
+            boolean idle = exchanges.isEmpty() && callers.openNow() == 0;
+            if (tookMs > DRAIN_ACCEPT_MS && idle || tookMs > settings.graceMs() - DRAIN_MARGIN_MS) {
+                vertx.cancelTimer(t);
+                LOG.infof("draining ended tookMs=%d cutOff=%d", tookMs, exchanges.size());
+                done.complete();
+            }
+        }));
+        return done.future();
+    }
+
+    /** Balancers look about once a second and take a router out after two misses. */
+    private static final long DRAIN_ACCEPT_MS = 2_500;
+
+    private static final long DRAIN_MARGIN_MS = 500;
+
+    /** State for the dump. */
+    public Future<JsonObject> dump() {
+        Promise<JsonObject> out = Promise.promise();
+        context.runOnContext(v -> out.complete(new JsonObject()
+                .put("router", settings.routerId())
+                .put("configVersion", config == null ? -1 : config.version())
+                .put("proofAgeMs", freshness.ageMs())
+                .put("draining", draining)
+                .put("exchanges", exchanges.size())
+                .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
+                .put("targets", placement.targets().size())
+                .put("targetConnections", connections.openNow())
+                .put("targetConnectionsOpened", connections.opened())
+                .put("routersKnown", peers.known())
+                .put("routersHeardPart", peers.heardPart())));
+        return out.future();
+    }
+
+    private Map<String, TargetUse> ownUses() {
+        Map<String, TargetUse> out = new HashMap<>();
+        for (TargetState t : placement.targets()) {
+            if (t.ownCalls() > 0) {
+                out.put(t.info().id(), new TargetUse(t.ownCalls(), t.ownPrefillTokens()));
+            }
+        }
+        return out;
+    }
+
+    private void usageHeard(String routerId, PeerMessage.Usage usage) {
+        placement.peerUses(routerId, usage.uses());
+        String life = routerId + "/" + usage.life();
+        String before = peerLives.put(routerId, life);
+        if (before != null && !before.equals(life)) {
+            quotas.keepOnly(new HashSet<>(peerLives.values()));
+        }
+        quotas.heard(life, usage.totals());
+        quotas.heardPart(peers.heardPart());
+        pumpSoon();
+    }
+
+    /** Looks for room for waiting calls once the current event has been handled. */
+    void pumpSoon() {
+        if (!pumping && !waiting.isEmpty()) {
+            pumping = true;
+            context.runOnContext(v -> {
+                pumping = false;
+                pumpIfWaiting();
+            });
+        }
+    }
+
+    private void pumpIfWaiting() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        for (Verdict verdict : placement.pump(MonotonicClock.nowMs())) {
+            Exchange x = waiting.get(verdict.call());
+            if (x != null) {
+                x.verdict(verdict);
+            }
+        }
+    }
+
+    private void sweep() {
+        long nowMs = MonotonicClock.nowMs();
+        List<Attempt> silent = new ArrayList<>();
+        for (Attempt a : attempts) {
+            if (Silence.tooLong(a, placement, nowMs)) {
+                silent.add(a);
+            }
+        }
+        silent.forEach(a -> a.giveUpSilent("silent for " + a.silentMs(nowMs) + " ms"));
+        connections.sweep(id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
+        quotas.heardPart(peers.heardPart());
+        if (config != null) {
+            callers.closeIdleLongerThan(config.limits().idleTimeoutMs());
+        }
+    }
+
+    /** Most connections this router may have to one target of a service: its part of the target's cap. */
+    int mostConnections(ForwardingConfig inForce, String service) {
+        int cap = inForce.service(service).map(TargetService::maxConnections).orElse(1);
+        return Math.max(1, cap / routers());
+    }
+
+    int routers() {
+        return peers.known();
+    }
+
+    long shedRetryMs() {
+        return SHED_RETRY_MS;
+    }
+
+    ForwardingConfig config() {
+        return config;
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    CallProtocol protocol() {
+        return protocol;
+    }
+
+    ForwardingMetrics metrics() {
+        return metrics;
+    }
+
+    Placement placement() {
+        return placement;
+    }
+
+    WorkspaceQuotas quotas() {
+        return quotas;
+    }
+
+    RetryBudget retries() {
+        return retries;
+    }
+
+    Freshness freshness() {
+        return freshness;
+    }
+
+    AnswerLengths lengths() {
+        return lengths;
+    }
+
+    TargetConnections connections() {
+        return connections;
+    }
+
+    Set<Attempt> attempts() {
+        return attempts;
+    }
+
+    Set<Exchange> exchanges() {
+        return exchanges;
+    }
+
+    Map<Call, Exchange> waiting() {
+        return waiting;
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingMetrics.java
@@ -0,0 +1,47 @@
+package org.onyxhinge.router.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import com.codahale.metrics.MetricRegistry;
+import org.onyxhinge.runtime.Latency;
+
+/** Counters and latency distributions of forwarding, by route and outcome. */
+final class ForwardingMetrics {
+
+    private final MetricRegistry registry;
+    private final Map<String, Latency> firstByte = new HashMap<>();
+    private final Map<String, Latency> whole = new HashMap<>();
+
+    private ForwardingMetrics(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    static ForwardingMetrics create(MetricRegistry registry) {
+        return new ForwardingMetrics(registry);
+    }
+
+    void ended(String route, String outcome) {
+        registry.counter("calls." + route + "." + outcome).inc();
+    }
+
+    void event(String name) {
+        registry.counter(name).inc();
+    }
+
+    void firstByteMs(String route, long ms) {
+        latency(firstByte, "first_byte." + route).recordUs(ms * 1_000);
+    }
+
+    void wholeMs(String route, long ms) {
+        latency(whole, "whole." + route).recordUs(ms * 1_000);
+    }
+
+    private Latency latency(Map<String, Latency> by, String name) {
+        return by.computeIfAbsent(name, n -> {
+            Latency latency = Latency.create();
+            registry.gauge(n, () -> latency::summary);
+            return latency;
+        });
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -0,0 +1,290 @@
+package org.onyxhinge.router.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.peer.PeerConnection;
+import org.onyxhinge.wire.peer.PeerMessage;
+import org.onyxhinge.wire.peer.PeerTraffic;
+
+/**
+ * What routers tell each other: their calls on each target and the units each workspace has used. Each
+ * router connects to every other one and sends what has changed since its last message, and at least a
+ * sign of life. What a router that falls silent had running is forgotten; its part of the quotas is not.
+ */
+final class RouterPeers {
+
+    private static final Logger LOG = Logger.getLogger(RouterPeers.class);
+
+    /** Often enough that two routers seldom take the same free slot, seldom enough to cost little. */
+    private static final long SEND_MS = 60;
+
+    private static final long SIGN_OF_LIFE_MS = 400;
+    /** Three signs of life missed, and one on its way. */
+    private static final long SILENT_MS = 1_500;
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final long DIAL_AGAIN_MS = 400;
+    /** A router that vanished without a word may still be serving; its part of the quotas is kept so long. */
+    private static final long KEEP_VANISHED_MS = 10_000;
+
+    private final Vertx vertx;
+    private final ForwardingSettings settings;
+    private final long life = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+    private final Supplier<Map<String, TargetUse>> uses;
+    private final Supplier<Map<String, Long>> totals;
+    private final BiConsumer<String, PeerMessage.Usage> usageHeard;
+    private final NetClient client;
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Heard> heard = new HashMap<>();
+    private final Map<String, Long> vanishedAtMs = new HashMap<>();
+
+    /** Our sending side towards one router. */
+    private static final class Link {
+        private final String address;
+        private PeerConnection connection;
+        private long connectedAtMs;
+        private boolean dialling;
+        private boolean whole = true;
+        private long sentAtMs;
+        private Map<String, TargetUse> sentUses = Map.of();
+        private Map<String, Long> sentTotals = Map.of();
+
+        Link(String address) {
+            this.address = address;
+        }
+    }
+
+    /** What one router last said. */
+    private static final class Heard {
+        private long life;
+        private long atMs;
+        private final Map<String, TargetUse> uses = new HashMap<>();
+    }
+
+    private RouterPeers(
+            Vertx vertx,
+            ForwardingSettings settings,
+            Supplier<Map<String, TargetUse>> uses,
+            Supplier<Map<String, Long>> totals,
+            BiConsumer<String, PeerMessage.Usage> usageHeard) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.uses = uses;
+        this.totals = totals;
+        this.usageHeard = usageHeard;
+        this.client = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
+    }
+
+    /** Listens for other routers; {@code usageHeard} gets each one's whole current use. */
+    static Future<RouterPeers> start(
+            Vertx vertx,
+            ForwardingSettings settings,
+            Supplier<Map<String, TargetUse>> uses,
+            Supplier<Map<String, Long>> totals,
+            BiConsumer<String, PeerMessage.Usage> usageHeard) {
+        RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, usageHeard);
+        return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
+                .connectHandler(
+                        socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
+                .listen(settings.peerPort(), settings.peerHost())
+                .map(server -> {
+                    vertx.setPeriodic(SEND_MS, t -> peers.beat());
+                    return peers;
+                });
+    }
+
+    /** Takes in a router that is registered at {@code address}, HOST:PORT. */
+    void registered(String routerId, String address) {
+        vanishedAtMs.remove(routerId);
+        Link known = links.get(routerId);
+        if (routerId.equals(settings.routerId()) || known != null && known.address.equals(address)) {
+            return;
+        }
+        if (known != null && known.connection != null) {
+            known.connection.close();
+        }
+        LOG.infof("router joined router=%s address=%s", routerId, address);
+        links.put(routerId, new Link(address));
+    }
+
+    /** Notes that a router is no longer registered. */
+    void unregistered(String routerId) {
+        if (links.containsKey(routerId)) {
+            vanishedAtMs.put(routerId, MonotonicClock.nowMs());
+        }
+    }
+
+    /** Routers there should be, this one included. */
+    int known() {
+        return links.size() + 1;
+    }
+
+    /** The part of the routers there should be that are heard, this one counted in both. */
+    double heardPart() {
+        long nowMs = MonotonicClock.nowMs();
+        int n = 1;
+        for (String id : links.keySet()) {
+            n += isHeard(heard.get(id), nowMs) ? 1 : 0;
+        }
+        return (double) n / known();
+    }
+
+    private static boolean isHeard(Heard h, long nowMs) {
+        return h != null && nowMs - h.atMs < SILENT_MS;
+    }
+
+    private void received(PeerMessage message) {
+        if (!(message instanceof PeerMessage.Usage usage)) {
+            LOG.warnf("unexpected message between routers type=%s", message.getClass().getSimpleName());
+            return;
+        }
+        Heard h = heard.computeIfAbsent(usage.routerId(), id -> new Heard());
+        if (usage.whole() || h.life != usage.life()) {
+            h.uses.clear();
+        }
+        h.life = usage.life();
+        h.atMs = MonotonicClock.nowMs();
+        if (usage.whole()) {
+            renew(links.get(usage.routerId()), h.atMs);
+        }
+        usage.uses().forEach((id, use) -> {
+            if (use.calls() == 0) {
+                h.uses.remove(id);
+            } else {
+                h.uses.put(id, use);
+            }
+        });
+        usageHeard.accept(
+                usage.routerId(),
+                new PeerMessage.Usage(usage.routerId(), usage.life(), true, h.uses, usage.totals()));
+    }
+
+    private void beat() {
+        long nowMs = MonotonicClock.nowMs();
+        forgetSilent(nowMs);
+        dropVanished(nowMs);
+        if (links.isEmpty()) {
+            return;
+        }
+        Map<String, TargetUse> usesNow = uses.get();
+        Map<String, Long> totalsNow = totals.get();
+        for (Map.Entry<String, Link> e : links.entrySet()) {
+            Link link = e.getValue();
+            if (!isHeard(heard.get(e.getKey()), nowMs)) {
+                renew(link, nowMs);
+            }
+            if (link.connection == null) {
+                dial(e.getKey(), link);
+            } else {
+                send(link, usesNow, totalsNow, nowMs);
+            }
+        }
+    }
+
+    /**
+     * Makes the connection to a router anew. A connection can go silent without a reset: the side that
+     * hears nothing makes its own anew, and the other side, seeing that, does the same.
+     */
+    private static void renew(Link link, long nowMs) {
+        if (link != null && link.connection != null && nowMs - link.connectedAtMs > SILENT_MS) {
+            PeerConnection old = link.connection;
+            link.connection = null;
+            old.close();
+        }
+    }
+
+    private void forgetSilent(long nowMs) {
+        heard.forEach((id, h) -> {
+            if (!isHeard(h, nowMs) && !h.uses.isEmpty()) {
+                LOG.infof("router silent router=%s silentMs=%d", id, nowMs - h.atMs);
+                h.uses.clear();
+                usageHeard.accept(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of()));
+            }
+        });
+    }
+
+    private void dropVanished(long nowMs) {
+        vanishedAtMs.entrySet().removeIf(e -> {
+            boolean drop = nowMs - e.getValue() > KEEP_VANISHED_MS;
+            if (drop) {
+                LOG.infof("router left router=%s", e.getKey());
+                Link link = links.remove(e.getKey());
+                if (link != null && link.connection != null) {
+                    link.connection.close();
+                }
+            }
+            return drop;
+        });
+    }
+
+    private void dial(String routerId, Link link) {
+        if (link.dialling) {
+            return;
+        }
+        link.dialling = true;
+        int colon = link.address.lastIndexOf(':');
+        client.connect(Integer.parseInt(link.address.substring(colon + 1)), link.address.substring(0, colon))
+                .onSuccess(socket -> {
+                    link.dialling = false;
+                    link.whole = true;
+                    long connectedAtMs = MonotonicClock.nowMs();
+                    link.connectedAtMs = connectedAtMs;
+                    link.connection = PeerConnection.attach(socket, traffic, this::received, () -> {
+                        LOG.infof("router link lost router=%s", routerId);
+                        if (link.connectedAtMs == connectedAtMs) {
+                            link.connection = null;
+                        }
+                    });
+                })
+                .onFailure(e -> {
+                    LOG.debugf("router not reached router=%s error=%s", routerId, e.getMessage());
+                    vertx.setTimer(DIAL_AGAIN_MS, t -> link.dialling = false);
+                });
+    }
+
+    private void send(Link link, Map<String, TargetUse> usesNow, Map<String, Long> totalsNow, long nowMs) {
+        Map<String, TargetUse> changedUses = link.whole ? usesNow : changed(link.sentUses, usesNow);
+        Map<String, Long> changedTotals = new HashMap<>(totalsNow);
+        if (!link.whole) {
+            changedTotals.entrySet().removeIf(e -> e.getValue().equals(link.sentTotals.get(e.getKey())));
+        }
+        boolean quiet = changedUses.isEmpty() && changedTotals.isEmpty();
+        if (quiet && !link.whole && nowMs - link.sentAtMs < SIGN_OF_LIFE_MS) {
+            return;
+        }
+        boolean sent = link.connection.send(
+                new PeerMessage.Usage(settings.routerId(), life, link.whole, changedUses, changedTotals));
+        if (sent) {
+            link.sentUses = usesNow;
+            link.sentTotals = totalsNow;
+            link.sentAtMs = nowMs;
+        }
+        // After a message that was dropped, what the other side has is not known.
+        link.whole = !sent;
+    }
+
+    private static Map<String, TargetUse> changed(Map<String, TargetUse> before, Map<String, TargetUse> now) {
+        Map<String, TargetUse> out = new HashMap<>(now);
+        out.entrySet().removeIf(e -> e.getValue().equals(before.get(e.getKey())));
+        Set<String> cleared = new HashSet<>(before.keySet());
+        cleared.removeAll(now.keySet());
+        cleared.forEach(id -> out.put(id, new TargetUse(0, 0)));
+        return out;
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
@@ -0,0 +1,148 @@
+package org.onyxhinge.router.forward;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnectOptions;
+import org.onyxhinge.core.place.Target;
+import org.onyxhinge.wire.MonotonicClock;
+
+/**
+ * Connections to targets, kept open between calls: each new one costs the target a handshake and may
+ * hold one of its slots. The one used last is used first, so the others fall idle and are closed.
+ */
+final class TargetConnections {
+
+    /** A path within a region takes a few ms; one lost packet costs about 200 ms. */
+    private static final int CONNECT_TIMEOUT_MS = 600;
+
+    private static final int HEADER_BYTES = 32_768;
+    private static final int MS_PER_SECOND = 1_000;
+    /** Safety before the target's own idle timeout, so that a call does not cross its close. */
+    private static final long IDLE_MARGIN_MS = 400;
+    /** Where the target names no timeout it is under a second. */
+    private static final long UNNAMED_IDLE_MS = 500;
+
+    private final HttpClientAgent client;
+    private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
+    private final Map<String, Integer> open = new HashMap<>();
+    private long opened;
+
+    private TargetConnections(HttpClientAgent client) {
+        this.client = client;
+    }
+
+    static TargetConnections create(Vertx vertx) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                .setTcpNoDelay(true)
+                .setKeepAlive(true)
+                .setMaxHeaderSize(HEADER_BYTES)
+                .setDecompressionSupported(false);
+        return new TargetConnections(vertx.createHttpClient(options));
+    }
+
+    /**
+     * A connection that carries no call. Fails when none can be made, or when the target has {@code most}
+     * from here already; no byte of a call has been sent then.
+     */
+    Future<TargetConnection> acquire(Target target, int most) {
+        Deque<TargetConnection> free = idle.get(target.id());
+        long nowMs = MonotonicClock.nowMs();
+        while (free != null && !free.isEmpty()) {
+            TargetConnection c = free.pollFirst();
+            if (c.usable(nowMs)) {
+                return Future.succeededFuture(c);
+            }
+            c.http().close();
+        }
+        if (open.getOrDefault(target.id(), 0) >= most) {
+            return Future.failedFuture("already " + most + " connections to " + target.id());
+        }
+        open.merge(target.id(), 1, Integer::sum);
+        opened++;
+        return client.connect(new HttpConnectOptions().setHost(target.host()).setPort(target.port()))
+                .onFailure(e -> closed(target.id()))
+                .map(http -> attach(http, target.id()));
+    }
+
+    private TargetConnection attach(HttpClientConnection http, String targetId) {
+        http.closeHandler(v -> {
+            closed(targetId);
+            Deque<TargetConnection> free = idle.get(targetId);
+            if (free != null) {
+                free.removeIf(c -> c.http() == http);
+            }
+        });
+        return new TargetConnection(http, targetId);
+    }
+
+    private void closed(String targetId) {
+        open.computeIfPresent(targetId, (id, n) -> n <= 1 ? null : n - 1);
+    }
+
+    /**
+     * Takes back a connection whose call and answer are both complete.
+     *
+     * @param keepAlive the answer's {@code Keep-Alive} header, or null
+     */
+    void release(TargetConnection c, String keepAlive) {
+        long idleUntilMs = MonotonicClock.nowMs() + idleMs(keepAlive);
+        idle.computeIfAbsent(c.targetId(), id -> new ArrayDeque<>()).addFirst(c.idleUntil(idleUntilMs));
+    }
+
+    /** How long a connection may be reused for, by the {@code timeout} of RFC 2068, section 19.7.1. */
+    static long idleMs(String keepAlive) {
+        if (keepAlive != null) {
+            for (String part : keepAlive.split(",")) {
+                String[] pair = part.trim().split("=", 2);
+                if (pair.length == 2 && pair[0].trim().equalsIgnoreCase("timeout")) {
+                    return parseSeconds(pair[1].trim());
+                }
+            }
+        }
+        return UNNAMED_IDLE_MS;
+    }
+
+    private static long parseSeconds(String text) {
+        try {
+            return Math.max(0, Long.parseLong(text) * MS_PER_SECOND - IDLE_MARGIN_MS);
+        } catch (NumberFormatException e) {
+            return UNNAMED_IDLE_MS;
+        }
+    }
+
+    /** Closes idle connections that are past their time or lead to targets that are gone. */
+    void sweep(java.util.function.Predicate<String> targetKnown) {
+        long nowMs = MonotonicClock.nowMs();
+        List<TargetConnection> stale = new ArrayList<>();
+        idle.forEach((id, free) -> free.removeIf(c -> {
+            boolean drop = !c.usable(nowMs) || !targetKnown.test(id);
+            if (drop) {
+                stale.add(c);
+            }
+            return drop;
+        }));
+        idle.values().removeIf(Deque::isEmpty);
+        stale.forEach(c -> c.http().close());
+    }
+
+    /** Connections made since the start. */
+    long opened() {
+        return opened;
+    }
+
+    /** Connections open now. */
+    int openNow() {
+        return open.values().stream().mapToInt(Integer::intValue).sum();
+    }
+}
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/MonotonicClock.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/MonotonicClock.java
@@ -1,6 +1,9 @@
 package org.onyxhinge.wire;
 
-/** The clock every time limit is measured by: it never goes back and also runs while a process is paused. */
+/**
+ * The clock every time limit is measured by: it never goes back and also runs while a process is paused,
+ * though not while the whole machine is suspended ({@link SuspendAwareClock} does).
+ */
 public final class MonotonicClock {
 
     private static final int NS_PER_MS = 1_000_000;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
@@ -26,7 +26,7 @@
  *
  * <p>All state lives on the context the client was created on; methods may be called from any thread.
  */
-public final class KvClient implements AutoCloseable {
+public final class KvClient implements KvStore, AutoCloseable {
 
     private static final Logger LOG = Logger.getLogger(KvClient.class);
     private static final long MAX_BACKOFF_MS = 2_000;
@@ -66,46 +66,42 @@
         return client;
     }
 
-    /** Reads one key; empty list when absent. */
+    @Override
     public Future<KvMessage.Reply> get(String key) {
         return call(id -> new KvMessage.Get(id, key));
     }
 
-    /** Reads every key under a prefix. */
+    @Override
     public Future<KvMessage.Reply> range(String prefix) {
         return call(id -> new KvMessage.Range(id, prefix));
     }
 
-    /** Compare-and-swap write; fails with {@link KvStatus#CONFLICT} when the version differs. */
+    @Override
     public Future<KvMessage.Reply> put(String key, byte[] value, long expectedVersion, long leaseId) {
         return call(id -> new KvMessage.Put(id, key, value, expectedVersion, leaseId));
     }
 
-    /** Compare-and-swap delete. */
+    @Override
     public Future<KvMessage.Reply> delete(String key, long expectedVersion) {
         return call(id -> new KvMessage.Delete(id, key, expectedVersion));
     }
 
-    /** Grants a lease; the reply's {@code leaseId} names it. */
+    @Override
     public Future<KvMessage.Reply> grant(long ttlMs) {
         return call(id -> new KvMessage.LeaseGrant(id, ttlMs));
     }
 
-    /** Keeps a lease alive; fails with {@link KvStatus#NOT_FOUND} once it has lapsed. */
+    @Override
     public Future<KvMessage.Reply> keepAlive(long leaseId) {
         return call(id -> new KvMessage.LeaseKeepAlive(id, leaseId));
     }
 
-    /** Ends a lease and deletes its keys. */
+    @Override
     public Future<KvMessage.Reply> revoke(long leaseId) {
         return call(id -> new KvMessage.LeaseRevoke(id, leaseId));
     }
 
-    /**
-     * Watches a prefix from {@code fromRevision}; {@code events} runs on the client's context for every
-     * change, also those replayed after a reconnect. The watch is made again until the service takes it;
-     * when the service no longer has the history it needs, it ends and {@code compacted} runs.
-     */
+    @Override
     public void watch(String prefix, long fromRevision, Handler<KvMessage.Event> events, Runnable compacted) {
         context.runOnContext(v -> startWatch(new WatchState(prefix, fromRevision, events, compacted)));
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -21,7 +21,7 @@
     private static final long RETRY_MS = 200;
 
     private final Vertx vertx;
-    private final KvClient kv;
+    private final KvStore kv;
     private final String prefix;
     private final Listener listener;
     private final Map<String, Long> revisions = new HashMap<>();
@@ -40,7 +40,7 @@
         void upTo(long revision);
     }
 
-    private KvMirror(Vertx vertx, KvClient kv, String prefix, Listener listener) {
+    private KvMirror(Vertx vertx, KvStore kv, String prefix, Listener listener) {
         this.vertx = vertx;
         this.kv = kv;
         this.prefix = prefix;
@@ -48,7 +48,7 @@
     }
 
     /** Starts copying; the future completes, with the revision, once the first whole read is in. */
-    public static Future<Long> start(Vertx vertx, KvClient kv, String prefix, Listener listener) {
+    public static Future<Long> start(Vertx vertx, KvStore kv, String prefix, Listener listener) {
         KvMirror mirror = new KvMirror(vertx, kv, prefix, listener);
         mirror.load();
         return mirror.loaded.future();
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeaseKeeper.java
@@ -19,7 +19,7 @@
     private static final int KEEP_ALIVES_PER_TTL = 3;
 
     private final Vertx vertx;
-    private final KvClient kv;
+    private final KvStore kv;
     private final String key;
     private final byte[] value;
     private final long ttlMs;
@@ -30,7 +30,7 @@
     private long timerId = -1;
     private boolean closed;
 
-    private LeaseKeeper(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs) {
+    private LeaseKeeper(Vertx vertx, KvStore kv, String key, byte[] value, long ttlMs) {
         this.vertx = vertx;
         this.kv = kv;
         this.key = key;
@@ -39,7 +39,7 @@
     }
 
     /** Starts holding {@code key} with {@code value}. */
-    public static LeaseKeeper hold(Vertx vertx, KvClient kv, String key, byte[] value, long ttlMs) {
+    public static LeaseKeeper hold(Vertx vertx, KvStore kv, String key, byte[] value, long ttlMs) {
         return new LeaseKeeper(vertx, kv, key, value, ttlMs).started();
     }
 
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -12,6 +14,7 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
+import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 
@@ -31,7 +34,10 @@
     private static final int ROOM_REPLY = 8;
     private static final int ORDER_REQUEST = 9;
     private static final int ORDER_REPLY = 10;
+    private static final int USAGE = 11;
     private static final int MAX_PREFIXES = 4_096;
+    /** Far above the targets and workspaces of the planned size; a larger map is not one of ours. */
+    private static final int MAX_USAGE_ENTRIES = 16_384;
 
     private PeerCodec() {}
 
@@ -64,6 +70,7 @@
                         .packInt(o.order().kind().ordinal())
                         .packString(o.order().argument())
                         .packLong(o.order().fencingToken());
+            case PeerMessage.Usage u -> writeUsage(p, u);
             case PeerMessage.OrderReply o ->
                 head(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -72,6 +79,48 @@
         }
     }
 
+    private static void writeUsage(MessagePacker p, PeerMessage.Usage u) throws IOException {
+        head(p, USAGE, 5).packString(u.routerId()).packLong(u.life()).packBoolean(u.whole());
+        p.packMapHeader(u.uses().size());
+        for (Map.Entry<String, TargetUse> e : u.uses().entrySet()) {
+            p.packString(e.getKey());
+            p.packArrayHeader(2);
+            p.packInt(e.getValue().calls());
+            p.packLong(e.getValue().prefillTokens());
+        }
+        p.packMapHeader(u.totals().size());
+        for (Map.Entry<String, Long> e : u.totals().entrySet()) {
+            p.packString(e.getKey()).packLong(e.getValue());
+        }
+    }
+
+    private static PeerMessage.Usage readUsage(MessageUnpacker u, int fields) throws IOException {
+        String routerId = expect(u, fields, 5).unpackString();
+        long life = u.unpackLong();
+        boolean whole = u.unpackBoolean();
+        Map<String, TargetUse> uses = new HashMap<>();
+        for (int left = entries(u); left > 0; left--) {
+            String target = u.unpackString();
+            if (u.unpackArrayHeader() != 2) {
+                throw new WireException("a use has two fields");
+            }
+            uses.put(target, new TargetUse(u.unpackInt(), u.unpackLong()));
+        }
+        Map<String, Long> totals = new HashMap<>();
+        for (int left = entries(u); left > 0; left--) {
+            totals.put(u.unpackString(), u.unpackLong());
+        }
+        return new PeerMessage.Usage(routerId, life, whole, uses, totals);
+    }
+
+    private static int entries(MessageUnpacker u) throws IOException {
+        int n = u.unpackMapHeader();
+        if (n > MAX_USAGE_ENTRIES) {
+            throw new WireException("too many entries: " + n);
+        }
+        return n;
+    }
+
     private static MessagePacker head(MessagePacker p, int tag, int fields) throws IOException {
         return p.packArrayHeader(fields + 1).packInt(tag);
     }
@@ -104,6 +153,7 @@
                 new PeerMessage.OrderRequest(
                         expect(u, fields, 4).unpackLong(),
                         new Order(constant(OrderKind.values(), u.unpackInt()), u.unpackString(), u.unpackLong()));
+            case USAGE -> readUsage(u, fields);
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         expect(u, fields, 3).unpackLong(),
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerConnection.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerConnection.java
@@ -9,7 +9,7 @@
 import org.onyxhinge.wire.frame.WireException;
 
 /**
- * One TCP connection between a router and an agent, either end. A frame that cannot be decoded closes
+ * One TCP connection between a router and an agent or another router, either end. A frame that cannot be decoded closes
  * this connection only. A peer that reads too slowly loses messages rather than filling memory: load
  * reports are only ever a hint, and every question has a time limit.
  */
@@ -36,13 +36,19 @@
         return c;
     }
 
-    /** Sends a message, or drops it while the peer does not keep up. */
-    public void send(PeerMessage message) {
-        if (!socket.writeQueueFull()) {
-            Buffer frame = FrameReader.frame(PeerCodec.encode(message));
-            traffic.sent(frame.length());
-            socket.write(frame);
+    /**
+     * Sends a message, or drops it while the peer does not keep up.
+     *
+     * @return false when it was dropped
+     */
+    public boolean send(PeerMessage message) {
+        if (socket.writeQueueFull()) {
+            return false;
         }
+        Buffer frame = FrameReader.frame(PeerCodec.encode(message));
+        traffic.sent(frame.length());
+        socket.write(frame);
+        return true;
     }
 
     @Override
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -1,22 +1,27 @@
 package org.onyxhinge.wire.peer;
 
 import java.util.List;
+import java.util.Map;
 
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderStatus;
+import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.schedule.LoadReport;
 
 /**
- * What routers and agents send each other. The router connects to the agent, subscribes, and from then
- * on both may send at any time. A connection is about the one engine beside its agent, so only the
- * hello names it.
+ * What routers and agents, and routers among themselves, send each other. A router connects to an agent,
+ * subscribes, and from then on both may send at any time. Such a connection is about the one engine
+ * beside its agent, so only the hello names it. Between routers, each sends on the connection it made.
  */
 public sealed interface PeerMessage {
 
     /** What a router sends an agent. */
     sealed interface ToAgent extends PeerMessage {}
 
+    /** What routers send each other. */
+    sealed interface BetweenRouters extends PeerMessage {}
+
     /** What an agent sends a router. */
     sealed interface ToRouter extends PeerMessage {}
 
@@ -107,4 +112,24 @@
      * @param detail why, for operators
      */
     record OrderReply(long orderId, OrderStatus status, String detail) implements ToRouter {}
+
+    /**
+     * What a router has running and has let through, in place of what it said before. A whole one comes
+     * first on a connection; the others hold only what has changed since the one before.
+     *
+     * @param routerId the router
+     * @param life a number that differs at each start of it
+     * @param whole false when only changes are listed
+     * @param uses calls on targets, by target; one without calls clears the entry
+     * @param totals units let through since its start, by workspace
+     */
+    record Usage(String routerId, long life, boolean whole, Map<String, TargetUse> uses, Map<String, Long> totals)
+            implements BetweenRouters {
+
+        /** Copies the maps. */
+        public Usage {
+            uses = Map.copyOf(uses);
+            totals = Map.copyOf(totals);
+        }
+    }
 }
