Quotas: any window of the operators' length, shared by running totals

Change: SharedQuota counts a sliding window, own use and what peers report; a restarted router takes its part as used for the first window and hears its peers' windows whole; less urgent calls leave room for urgent ones. Near targets are preferred more (bytes between data centres are billed).

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -5,72 +5,94 @@
 import java.util.Set;
 
 /**
- * A workspace's quota as a token bucket that all routers draw from. Each router tells the others the
- * running total of what it has let through; the bucket falls by its own use at once and by theirs when
- * it is heard. A router that should be there and isn't heard may be spending its equal part unseen, so
- * the bucket then refills only at the part of the heard ones. What is spent between two messages can
- * overdraw the bucket; it then stays empty until that is refilled, so nothing is spent twice for long.
+ * A workspace's quota, shared by all routers: in any window, the rate times the window plus the burst.
+ * Each router tells the others the running total of what it has let through and counts theirs with its
+ * own. A router that should be there and isn't heard may be spending its equal part unseen, so the limit
+ * is then only the part of those that are heard; both sides of a partition together stay within it.
  */
 public final class SharedQuota {
 
     private static final double MS_PER_SECOND = 1_000.0;
 
-    /** A new bucket starts with this part of its burst: what was spent before a restart is not known. */
-    private static final double FIRST_FILL = 0.5;
+    /**
+     * A less urgent call must leave room for this many more of its size for each rank below the first, so
+     * that a workspace near its limit spends the rest on what it ranks first.
+     */
+    private static final int ROOM_PER_RANK = 20;
 
     private final Map<String, Long> heardTotals = new HashMap<>();
+    private final long windowMs;
+    private final SlidingCount used;
+    private final SlidingCount ownUsed;
     private double perSecond;
     private double burst;
-    private double level;
-    private long refilledAtMs;
     private long ownTotal;
 
-    private SharedQuota(double perSecond, double burst, long nowMs) {
+    private SharedQuota(double perSecond, double burst, long windowMs) {
         this.perSecond = perSecond;
         this.burst = burst;
-        this.level = burst * FIRST_FILL;
-        this.refilledAtMs = nowMs;
+        this.windowMs = windowMs;
+        this.used = SlidingCount.over(windowMs);
+        this.ownUsed = SlidingCount.over(windowMs);
     }
 
-    /** Creates a bucket; {@code perSecond} and {@code burst} are over all routers. */
-    public static SharedQuota create(double perSecond, double burst, long nowMs) {
-        return new SharedQuota(perSecond, burst, nowMs);
+    /**
+     * Creates a quota; {@code perSecond} and {@code burst} are over all routers.
+     *
+     * @param earlierPart the part of the limit that this router may have used before it was restarted; it
+     *     is taken as used until a window has passed
+     */
+    public static SharedQuota create(
+            double perSecond, double burst, long windowMs, double earlierPart, long nowMs) {
+        SharedQuota quota = new SharedQuota(perSecond, burst, windowMs);
+        quota.used.spread(nowMs, (long) (quota.limit(1) * earlierPart));
+        return quota;
     }
 
-    /** Puts a new limit in force; a lower burst empties the bucket down to it. */
-    public void limit(double newPerSecond, double newBurst, double heardPart, long nowMs) {
-        refill(heardPart, nowMs);
+    /** Puts a new limit in force. */
+    public void limit(double newPerSecond, double newBurst) {
         perSecond = newPerSecond;
         burst = newBurst;
-        level = Math.min(level, burst);
+    }
+
+    private double limit(double heardPart) {
+        return (perSecond * windowMs / MS_PER_SECOND + burst) * heardPart;
     }
 
     /**
-     * Takes {@code units}, if the bucket holds them.
+     * Takes {@code units}, if the quota holds them.
      *
+     * @param rank the call's rank among its workspace's, 0 the most urgent
      * @param heardPart routers heard lately against routers there should be, this one counted in both
      */
-    public boolean tryTake(long units, double heardPart, long nowMs) {
-        refill(heardPart, nowMs);
-        // A call larger than the whole burst may go when the bucket is full, or it could never go.
-        if (level < Math.min(units, burst)) {
+    public boolean tryTake(long units, int rank, double heardPart, long nowMs) {
+        if (missing(units, rank, heardPart, nowMs) > 0) {
             return false;
         }
-        level -= units;
+        used.add(nowMs, units);
+        ownUsed.add(nowMs, units);
         ownTotal += units;
         return true;
     }
 
+    private long missing(long units, int rank, double heardPart, long nowMs) {
+        double room = limit(heardPart) - used.total(nowMs);
+        // A call larger than the limit may go when nothing is used, or it could never go.
+        double wanted = Math.min(units, limit(heardPart));
+        double kept = Math.min((double) rank * ROOM_PER_RANK * units, limit(heardPart) / 2);
+        return (long) Math.ceil(wanted + kept - room);
+    }
+
     /** Gives back what a call took that never ran. */
-    public void giveBack(long units) {
-        level = Math.min(burst, level + units);
+    public void giveBack(long units, long nowMs) {
+        used.add(nowMs, -units);
+        ownUsed.add(nowMs, -units);
         ownTotal -= units;
     }
 
-    /** Time until {@code units} will be there at the rate in force. */
-    public long waitMs(long units, double heardPart) {
-        double missing = Math.min(units, burst) - level;
-        return (long) Math.ceil(Math.max(0, missing) * MS_PER_SECOND / Math.max(1e-9, perSecond * heardPart));
+    /** Time until {@code units} will probably be there. */
+    public long waitMs(long units, int rank, double heardPart, long nowMs) {
+        return used.untilLeftMs(nowMs, Math.max(1, missing(units, rank, heardPart, nowMs)));
     }
 
     /** What this router has let through since it started, for the others. */
@@ -78,27 +100,24 @@
         return ownTotal;
     }
 
+    /** What this router has let through in the window, for others that hear it for the first time. */
+    public long ownRecent(long nowMs) {
+        return ownUsed.total(nowMs);
+    }
+
     /**
-     * Takes another router's running total into account. What it had spent before it was first heard is
-     * not counted: it may be older than any window.
+     * Takes another router's running total into account.
      *
-     * @param routerLife the router and its start, so that a restarted one begins at zero
+     * @param routerLife the router and its start, so that a restarted one begins anew
+     * @param recent what it used in its window; counts where it is heard for the first time
      */
-    public void heard(String routerLife, long total) {
+    public void heard(String routerLife, long total, long recent, long nowMs) {
         Long before = heardTotals.put(routerLife, total);
-        if (before != null) {
-            level = Math.min(burst, level - (total - before));
-        }
+        used.add(nowMs, before == null ? recent : total - before);
     }
 
     /** Forgets routers that are gone. */
     public void keepOnly(Set<String> routerLives) {
         heardTotals.keySet().retainAll(routerLives);
     }
-
-    private void refill(double heardPart, long nowMs) {
-        double added = (nowMs - refilledAtMs) * perSecond * heardPart / MS_PER_SECOND;
-        level = Math.min(burst, level + added);
-        refilledAtMs = nowMs;
-    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
@@ -26,8 +26,34 @@
 
     /** Counts one event. */
     public void add(long nowMs) {
+        add(nowMs, 1);
+    }
+
+    /** Counts {@code amount}; a negative one takes back what was counted lately. */
+    public void add(long nowMs, long amount) {
+        advance(nowMs);
+        counts[slot(newestSlice)] += amount;
+    }
+
+    /** Spreads {@code amount} evenly over the window that ends now. */
+    public void spread(long nowMs, long amount) {
         advance(nowMs);
-        counts[slot(newestSlice)]++;
+        for (int back = 0; back < SLICES; back++) {
+            counts[slot(newestSlice - back)] += amount / SLICES;
+        }
+    }
+
+    /** How long until at least {@code amount} of what is in the window has left it. */
+    public long untilLeftMs(long nowMs, long amount) {
+        advance(nowMs);
+        long left = 0;
+        for (int age = SLICES; age >= 0; age--) {
+            left += counts[slot(newestSlice - age)];
+            if (left >= amount) {
+                return (newestSlice - age + SLICES + 1) * sliceMs - nowMs;
+            }
+        }
+        return sliceMs * SLICES;
     }
 
     /** Events in the window that ends now. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -27,9 +27,9 @@
      * What the path to another data centre costs against the time of an answer, as a part: bytes between
      * data centres are billed, and a slightly slower answer from near by is worth the same.
      */
-    private static final double FAR_COST = 0.25;
+    private static final double FAR_COST = 1.0;
 
-    private static final double FAR_COST_MS = 10;
+    private static final double FAR_COST_MS = 20;
 
     private final String name;
     private final String dataCentre;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
@@ -105,6 +105,11 @@
         return Optional.ofNullable(workspaceByKey.get(key));
     }
 
+    /** A workspace by name. */
+    public Optional<WorkspaceAccess> workspace(String name) {
+        return Optional.ofNullable(workspaces.get(name));
+    }
+
     /** Every workspace. */
     public Collection<WorkspaceAccess> workspaces() {
         return workspaces.values();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -153,7 +153,7 @@
         long nowMs = MonotonicClock.nowMs();
         if (workspace.isPresent()) {
             long units = workspace.get().units(head.tokens());
-            Optional<Long> wait = forwarder.quotas().take(workspace.get(), units, nowMs);
+            Optional<Long> wait = forwarder.quotas().take(workspace.get(), units, route.priority(), nowMs);
             if (wait.isPresent()) {
                 answerRefused(429, "quota", wait.get());
                 return;
@@ -451,7 +451,7 @@
             forwarder.vertx().cancelTimer(timerId);
         }
         if (sends == 0 && unitsTaken > 0) {
-            workspace.ifPresent(w -> forwarder.quotas().giveBack(w, unitsTaken));
+            workspace.ifPresent(w -> forwarder.quotas().giveBack(w, unitsTaken, MonotonicClock.nowMs()));
         }
         forwarder.ended(this, request.connection());
         record.finish(forwarder, route, workspace, config, MonotonicClock.nowMs() - arrivedAtMs, outcome, why);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
@@ -28,6 +29,7 @@
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.TargetService;
+import org.onyxhinge.core.route.WorkspaceAccess;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -54,7 +56,7 @@
     private final CallProtocol protocol;
     private final ForwardingMetrics metrics;
     private final Placement placement;
-    private final WorkspaceQuotas quotas = new WorkspaceQuotas();
+    private final WorkspaceQuotas quotas;
     private final RetryBudget retries;
     private final Freshness freshness;
     private final AnswerLengths lengths = new AnswerLengths();
@@ -82,6 +84,7 @@
         this.retries =
                 RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.connections = TargetConnections.create(vertx);
+        this.quotas = new WorkspaceQuotas(settings.quotaWindowMs(), MonotonicClock.nowMs());
     }
 
     /** Starts listening for callers and other routers; it refuses calls until it has a configuration. */
@@ -110,7 +113,13 @@
                 .exceptionHandler(e -> LOG.debugf("caller connection error=%s", e.getMessage()))
                 .invalidRequestHandler(this::malformed)
                 .requestHandler(this::request);
-        return RouterPeers.start(vertx, settings, this::ownUses, quotas::totals, this::usageHeard)
+        return RouterPeers.start(
+                        vertx,
+                        settings,
+                        this::ownUses,
+                        quotas::totals,
+                        () -> quotas.recent(MonotonicClock.nowMs()),
+                        this::usageHeard)
                 .compose(p -> {
                     peers = p;
                     return server.listen(settings.port(), settings.host());
@@ -243,11 +252,16 @@
         if (before != null && !before.equals(life)) {
             quotas.keepOnly(new HashSet<>(peerLives.values()));
         }
-        quotas.heard(life, usage.totals());
-        quotas.heardPart(peers.heardPart());
+        quotas.routers(peers.known(), peers.heardPart());
+        quotas.heard(life, usage.totals(), usage.recent(), this::workspace, MonotonicClock.nowMs());
         pumpSoon();
     }
 
+    private Optional<WorkspaceAccess> workspace(String name) {
+        ForwardingConfig inForce = config;
+        return inForce == null ? Optional.empty() : inForce.workspace(name);
+    }
+
     /** Looks for room for waiting calls once the current event has been handled. */
     void pumpSoon() {
         if (!pumping && !waiting.isEmpty()) {
@@ -281,7 +295,7 @@
         }
         silent.forEach(a -> a.giveUpSilent("silent for " + a.silentMs(nowMs) + " ms"));
         connections.sweep(id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
-        quotas.heardPart(peers.heardPart());
+        quotas.routers(peers.known(), peers.heardPart());
         if (config != null) {
             callers.closeIdleLongerThan(config.limits().idleTimeoutMs());
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
@@ -14,6 +14,7 @@
  * @param retryWindowMs the window of both
  * @param keyProofMs how long an API key is believed after the store last confirmed the configuration; 0
  *     for no limit
+ * @param quotaWindowMs window in which a workspace may use its rate times the window plus its burst
  * @param graceMs time from the order to stop until the process is killed
  */
 public record ForwardingSettings(
@@ -27,4 +28,5 @@
         double retryAllowance,
         long retryWindowMs,
         long keyProofMs,
+        long quotaWindowMs,
         long graceMs) {}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -46,6 +46,7 @@
     private final long life = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Supplier<Map<String, TargetUse>> uses;
     private final Supplier<Map<String, Long>> totals;
+    private final Supplier<Map<String, Long>> recent;
     private final BiConsumer<String, PeerMessage.Usage> usageHeard;
     private final NetClient client;
     private final PeerTraffic traffic = new PeerTraffic();
@@ -81,11 +82,13 @@
             ForwardingSettings settings,
             Supplier<Map<String, TargetUse>> uses,
             Supplier<Map<String, Long>> totals,
+            Supplier<Map<String, Long>> recent,
             BiConsumer<String, PeerMessage.Usage> usageHeard) {
         this.vertx = vertx;
         this.settings = settings;
         this.uses = uses;
         this.totals = totals;
+        this.recent = recent;
         this.usageHeard = usageHeard;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
@@ -97,8 +100,9 @@
             ForwardingSettings settings,
             Supplier<Map<String, TargetUse>> uses,
             Supplier<Map<String, Long>> totals,
+            Supplier<Map<String, Long>> recent,
             BiConsumer<String, PeerMessage.Usage> usageHeard) {
-        RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, usageHeard);
+        RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, recent, usageHeard);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
                 .connectHandler(
                         socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
@@ -172,7 +176,7 @@
         });
         usageHeard.accept(
                 usage.routerId(),
-                new PeerMessage.Usage(usage.routerId(), usage.life(), true, h.uses, usage.totals()));
+                new PeerMessage.Usage(usage.routerId(), usage.life(), true, h.uses, usage.totals(), usage.recent()));
     }
 
     private void beat() {
@@ -214,7 +218,7 @@
             if (!isHeard(h, nowMs) && !h.uses.isEmpty()) {
                 LOG.infof("router silent router=%s silentMs=%d", id, nowMs - h.atMs);
                 h.uses.clear();
-                usageHeard.accept(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of()));
+                usageHeard.accept(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of(), Map.of()));
             }
         });
     }
@@ -268,8 +272,13 @@
         if (quiet && !link.whole && nowMs - link.sentAtMs < SIGN_OF_LIFE_MS) {
             return;
         }
-        boolean sent = link.connection.send(
-                new PeerMessage.Usage(settings.routerId(), life, link.whole, changedUses, changedTotals));
+        boolean sent = link.connection.send(new PeerMessage.Usage(
+                settings.routerId(),
+                life,
+                link.whole,
+                changedUses,
+                changedTotals,
+                link.whole ? recent.get() : Map.of()));
         if (sent) {
             link.sentUses = usesNow;
             link.sentTotals = totalsNow;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -80,7 +80,7 @@
     }
 
     private static void writeUsage(MessagePacker p, PeerMessage.Usage u) throws IOException {
-        head(p, USAGE, 5).packString(u.routerId()).packLong(u.life()).packBoolean(u.whole());
+        head(p, USAGE, 6).packString(u.routerId()).packLong(u.life()).packBoolean(u.whole());
         p.packMapHeader(u.uses().size());
         for (Map.Entry<String, TargetUse> e : u.uses().entrySet()) {
             p.packString(e.getKey());
@@ -88,14 +88,19 @@
             p.packInt(e.getValue().calls());
             p.packLong(e.getValue().prefillTokens());
         }
-        p.packMapHeader(u.totals().size());
-        for (Map.Entry<String, Long> e : u.totals().entrySet()) {
+        writeUnits(p, u.totals());
+        writeUnits(p, u.recent());
+    }
+
+    private static void writeUnits(MessagePacker p, Map<String, Long> units) throws IOException {
+        p.packMapHeader(units.size());
+        for (Map.Entry<String, Long> e : units.entrySet()) {
             p.packString(e.getKey()).packLong(e.getValue());
         }
     }
 
     private static PeerMessage.Usage readUsage(MessageUnpacker u, int fields) throws IOException {
-        String routerId = expect(u, fields, 5).unpackString();
+        String routerId = expect(u, fields, 6).unpackString();
         long life = u.unpackLong();
         boolean whole = u.unpackBoolean();
         Map<String, TargetUse> uses = new HashMap<>();
@@ -106,11 +111,16 @@
             }
             uses.put(target, new TargetUse(u.unpackInt(), u.unpackLong()));
         }
-        Map<String, Long> totals = new HashMap<>();
+        Map<String, Long> totals = readUnits(u);
+        return new PeerMessage.Usage(routerId, life, whole, uses, totals, readUnits(u));
+    }
+
+    private static Map<String, Long> readUnits(MessageUnpacker u) throws IOException {
+        Map<String, Long> units = new HashMap<>();
         for (int left = entries(u); left > 0; left--) {
-            totals.put(u.unpackString(), u.unpackLong());
+            units.put(u.unpackString(), u.unpackLong());
         }
-        return new PeerMessage.Usage(routerId, life, whole, uses, totals);
+        return units;
     }
 
     private static int entries(MessageUnpacker u) throws IOException {
