Restarts: a class archive from a rehearsal; early calls wait for the first configuration

Cause: after a loss of power a router was back 2.2 s after its VM (37.23 s first log line, 37.55 s listening, 38.48 s first answer; power back at about 35.3 s): on 0.57 of a core, loading classes is most of a start. Calls that came between listening and the first configuration were refused, and callers here repeat only once. Ruled out: the store (configuration read 0.3 s after listening).

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Builds the router for the platform: the jars under target/onyxhinge/lib and a Java runtime with just
-# the modules it needs under target/runtime, so that the run line names nothing of the machine's.
+# Builds the router for the platform under target/: its jars, a Java runtime with just the modules it
+# needs, and an archive of the classes that a rehearsal of the whole path loads. It is what makes a
+# restart short: loading and linking classes is most of the work between a start and the first answer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/jdk.sh
@@ -11,3 +12,11 @@
 cp platform/target/onyxhinge-platform-*.jar target/onyxhinge/lib/onyxhinge-platform.jar
 "$JAVA_HOME/bin/jlink" --output target/runtime --strip-debug --no-header-files --no-man-pages \
   --add-modules java.base,java.logging,java.management,java.naming,java.xml,java.sql,java.desktop,jdk.unsupported
+classpath=$(ls target/onyxhinge/lib/*.jar | tr '\n' ':')
+sed "s|@CLASSPATH@|${classpath%:}|" deploy/jvm.opts > target/onyxhinge/jvm.opts
+# The archive holds for exactly these options and this class path, so all runs read them from one file.
+java="target/runtime/bin/java @target/onyxhinge/jvm.opts"
+main=org.onyxhinge.platform.PlatformMain
+$java -Xshare:off -XX:DumpLoadedClassList=target/onyxhinge/classes.lst $main demo --rounds 30
+$java -Xshare:dump -XX:+AOTClassLinking -XX:SharedClassListFile=target/onyxhinge/classes.lst \
+  -XX:SharedArchiveFile=target/onyxhinge/router.jsa > target/onyxhinge/archive.log 2>&1
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -84,15 +84,21 @@
         forwarder.exchanges().add(x);
         request.response().exceptionHandler(e -> x.callerLeft());
         request.response().closeHandler(v -> x.callerLeft());
+        request.pause();
         x.check();
     }
 
-    private void check() {
+    /** Looks at the request's head, once there is a configuration to look at it by. */
+    void check() {
+        if (over) {
+            return;
+        }
         config = forwarder.config();
         if (config == null) {
-            refuse("no_config", NO_CONFIG_RETRY_MS);
+            forwarder.holdEarly(this);
             return;
         }
+        request.resume();
         var read = forwarder.protocol().readCall(request);
         if (read.isLeft()) {
             fail(400, "malformed", read.getLeft());
@@ -115,6 +121,11 @@
         readBody();
     }
 
+    /** The first configuration has not come in time. */
+    void refuseEarly() {
+        refuse("no_config", NO_CONFIG_RETRY_MS);
+    }
+
     private boolean authorised() {
         workspace = head.apiKey().flatMap(config::workspaceOfKey);
         if (!forwarder.freshness().holds()) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,6 +49,8 @@
     private static final long SWEEP_MS = 100;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 1_024;
+    /** A starting router has its configuration within this, or its store is away. */
+    private static final long EARLY_HOLD_MS = 600;
     /** What a target that turned a call away is given to work off its queue. */
     private static final long SHED_RETRY_MS = 500;
 
@@ -64,6 +67,7 @@
     private final Set<Attempt> attempts = new HashSet<>();
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
+    private final Set<Exchange> early = new LinkedHashSet<>();
     private final CallerConnections callers = new CallerConnections();
     private final Map<String, String> peerLives = new HashMap<>();
     private Context context;
@@ -144,16 +148,32 @@
     /** Notes that a caller's request has its final answer. */
     void ended(Exchange exchange, HttpConnection connection) {
         exchanges.remove(exchange);
+        early.remove(exchange);
         callers.freed(connection);
     }
 
-    /** Puts a newer configuration in force. */
+    /** Puts a newer configuration in force; calls that came before the first one are looked at now. */
     public void configure(ForwardingConfig newer) {
-        ForwardingConfig before = config;
-        config = newer;
-        LOG.infof(
-                "config in force version=%d before=%d routes=%d",
-                newer.version(), before == null ? -1 : before.version(), newer.routes().size());
+        context.runOnContext(v -> {
+            ForwardingConfig before = config;
+            config = newer;
+            LOG.infof(
+                    "config in force version=%d before=%d routes=%d early=%d",
+                    newer.version(), before == null ? -1 : before.version(), newer.routes().size(), early.size());
+            List<Exchange> held = List.copyOf(early);
+            early.clear();
+            held.forEach(Exchange::check);
+        });
+    }
+
+    /** Holds a call that came before the first configuration, for a moment. */
+    void holdEarly(Exchange exchange) {
+        early.add(exchange);
+        vertx.setTimer(EARLY_HOLD_MS, t -> {
+            if (early.remove(exchange)) {
+                exchange.refuseEarly();
+            }
+        });
     }
 
     /** Takes a registry entry of a target in. */
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Ports.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/Ports.java
@@ -1,4 +1,4 @@
-package org.onyxhinge.tools.demo;
+package org.onyxhinge.runtime;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -19,7 +19,7 @@
 import org.onyxhinge.runtime.Logs;
 import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.tools.ToolsMain;
-import org.onyxhinge.tools.demo.Ports;
+import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.tools.load.Driver;
 
 /**
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/demo/Embedded.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.agent.AgentNode;
 import org.onyxhinge.agent.AgentSettings;
 import org.onyxhinge.core.schedule.RoutingPolicy;
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -24,7 +24,7 @@
 import org.onyxhinge.router.cli.RouterMain;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Settings;
-import org.onyxhinge.tools.demo.Ports;
+import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.tools.load.Driver;
 
 /**
