--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -42,8 +42,7 @@
      * @param earlierPart the part of the limit that this router may have used before it was restarted; it
      *     is taken as used until a window has passed
      */
-    public static SharedQuota create(
-            double perSecond, double burst, long windowMs, double earlierPart, long nowMs) {
+    public static SharedQuota create(double perSecond, double burst, long windowMs, double earlierPart, long nowMs) {
         SharedQuota quota = new SharedQuota(perSecond, burst, windowMs);
         quota.used.spread(nowMs, (long) (quota.limit(1) * earlierPart));
         return quota;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -216,12 +216,15 @@
      * arrivals of more urgent ranks will take meanwhile.
      */
     private long expectedWaitMs(Call call, long nowMs) {
-        double drain = drainRate(call.service()).perSecond(nowMs);
+        double measured = drainRate(call.service()).perSecond(nowMs);
+        // Before ends have been seen, places fall free about as often as one call takes its usual time.
+        double drain =
+                Math.max(measured, MS_PER_SECOND / services.get(call.service()).usualMs(call));
         double urgent = 0;
         for (Map.Entry<Integer, Rate> e : arrivals.get(call.service()).entrySet()) {
             urgent += e.getKey() < call.rank() ? e.getValue().perSecond(nowMs) : 0;
         }
-        double left = Math.max(drain - urgent, Math.max(drain * LEAST_DRAIN_PART, LEAST_DRAIN_PART));
+        double left = Math.max(drain - urgent, drain * LEAST_DRAIN_PART);
         return (long) ((queue(call.service()).ahead(call.rank()) + 1) / left * MS_PER_SECOND);
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -106,27 +106,16 @@
         return targets.isEmpty() ? 0 : sum / targets.size();
     }
 
-    /** Slots of targets that take calls. */
-    int slots() {
-        int n = 0;
+    /** How long such a call usually takes on the service's targets. */
+    double usualMs(Call call) {
+        double sum = 0;
         for (TargetState t : targets) {
-            n += t.takesCalls() ? t.info().slots() : 0;
+            sum += t.lastByteMs(call);
         }
-        return n;
+        return targets.isEmpty() ? gapMs.valueMs() : sum / targets.size();
     }
 
     boolean anyTakesCalls() {
         return targets.stream().anyMatch(TargetState::takesCalls);
     }
-
-    /** The soonest first byte on any target that takes calls, were a slot free there. */
-    double soonestFirstByteMs(Call call) {
-        double soonest = Double.MAX_VALUE;
-        for (TargetState t : targets) {
-            if (t.takesCalls()) {
-                soonest = Math.min(soonest, t.firstByteMs(call));
-            }
-        }
-        return soonest;
-    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Target.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Target.java
@@ -13,7 +13,14 @@
  * @param coldLeftMs how much longer it is slow after its start
  */
 public record Target(
-        String id, String service, String host, int port, String dataCentre, int slots, boolean ready, long coldLeftMs) {
+        String id,
+        String service,
+        String host,
+        int port,
+        String dataCentre,
+        int slots,
+        boolean ready,
+        long coldLeftMs) {
 
     /** Checks the ranges; throws {@link IllegalArgumentException} naming the bad field. */
     public Target {
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/limit/SharedQuotaProperties.java
@@ -0,0 +1,144 @@
+package org.onyxhinge.core.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * A workspace that sends several times its quota to several routers, whose messages are late or lost, and
+ * which lose sight of each other: in no window do they together let through more than the operators'
+ * tolerance of a tenth and what is sent within two message delays.
+ */
+class SharedQuotaProperties {
+
+    private static final long WINDOW_MS = 8_000;
+    private static final double PER_SECOND = 10_000;
+    private static final double BURST = 10_000;
+    private static final long UNITS = 500;
+    private static final long LIMIT = (long) (PER_SECOND * WINDOW_MS / 1_000 + BURST);
+    private static final double TOLERANCE = 1.1;
+    private static final long STEP_MS = 10;
+
+    /** One router: its quota, its running total as last sent, and messages on their way to it. */
+    private static final class Router {
+        private SharedQuota quota;
+        private int life;
+        private final Deque<long[]> inbox = new ArrayDeque<>();
+    }
+
+    private record Taken(long atMs, long units) {}
+
+    @Property(tries = 40, seed = "411")
+    void routersTogetherStayWithinTheLimit(
+            @ForAll @IntRange(min = 1, max = 6) int routers,
+            @ForAll @IntRange(min = 0, max = 200) int delayMs,
+            @ForAll boolean partitioned,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        List<Router> all = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            Router r = new Router();
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+            all.add(r);
+        }
+        List<Taken> taken = new ArrayList<>();
+        for (long nowMs = 0; nowMs < 30_000; nowMs += STEP_MS) {
+            // Halfway through the first router is cut off from all others for six seconds.
+            boolean cut = partitioned && routers > 1 && nowMs > 12_000 && nowMs < 18_000;
+            boolean noticed = partitioned && routers > 1 && nowMs > 12_000 + 1_500 && nowMs < 18_000;
+            for (int i = 0; i < routers; i++) {
+                Router r = all.get(i);
+                deliver(r, nowMs, delayMs);
+                double heard = !noticed ? 1 : i == 0 ? 1.0 / routers : (routers - 1.0) / routers;
+                if (random.nextInt(3) == 0 && r.quota.tryTake(UNITS, 0, heard, nowMs)) {
+                    taken.add(new Taken(nowMs, UNITS));
+                }
+                if (nowMs % 60 == 0) {
+                    tellOthers(all, i, nowMs, cut);
+                }
+            }
+        }
+        long unseen = routers * UNITS * (2L * delayMs + 120) / STEP_MS / 3;
+        long beforeNoticed = partitioned ? (long) (PER_SECOND * 1.5 / routers) + LIMIT / 4 : 0;
+        assertThat(most(taken), lessThanOrEqualTo((long) (LIMIT * TOLERANCE) + unseen + beforeNoticed));
+        assertThat("the quota is used, not refused", most(taken), greaterThan(LIMIT * 3 / 4));
+    }
+
+    private static void deliver(Router r, long nowMs, int delayMs) {
+        while (!r.inbox.isEmpty() && r.inbox.peek()[3] + delayMs <= nowMs) {
+            long[] m = r.inbox.poll();
+            r.quota.heard("r" + m[0], m[1], m[2], nowMs);
+        }
+    }
+
+    private static void tellOthers(List<Router> all, int from, long nowMs, boolean cut) {
+        for (int to = 0; to < all.size(); to++) {
+            if (to != from && !(cut && (to == 0 || from == 0))) {
+                SharedQuota q = all.get(from).quota;
+                all.get(to).inbox.add(new long[] {from, q.ownTotal(), q.ownRecent(nowMs), nowMs});
+            }
+        }
+    }
+
+    /** The most units in any window. */
+    private static long most(List<Taken> taken) {
+        long most = 0;
+        long sum = 0;
+        int first = 0;
+        for (Taken t : taken) {
+            sum += t.units();
+            while (taken.get(first).atMs() <= t.atMs() - WINDOW_MS) {
+                sum -= taken.get(first++).units();
+            }
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    @Test
+    void aRestartedRouterTakesItsPartAsUsedAndHearsItsPeersWindow() {
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0.25, 0);
+        q.heard("peer/1", 1_000_000, LIMIT / 2, 0);
+        long left = 0;
+        while (q.tryTake(100, 0, 1, 10)) {
+            left += 100;
+        }
+        assertThat(left, lessThanOrEqualTo(LIMIT / 4 + 100));
+        assertThat(left, greaterThan(LIMIT / 5));
+    }
+
+    @Test
+    void nearTheLimitTheLessUrgentLeaveRoom() {
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+        while (q.tryTake(500, 2, 1, 10)) {
+            // Fills the quota as far as this rank may.
+        }
+        assertThat("rank 2 stops", q.tryTake(500, 2, 1, 10), is(false));
+        assertThat("rank 0 goes on", q.tryTake(500, 0, 1, 10), is(true));
+    }
+
+    @Test
+    void aLowerLimitBindsAtOnceAndWhatNeverRanIsGivenBack() {
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+        assertThat(q.tryTake(LIMIT, 0, 1, 10), is(true));
+        assertThat(q.waitMs(500, 0, 1, 10) > 0, is(true));
+        q.giveBack(LIMIT, 20);
+        q.limit(100, 100);
+        assertThat(q.tryTake(800, 0, 1, 30), is(true));
+        assertThat(q.tryTake(200, 0, 1, 40), is(false));
+        q.keepOnly(Set.of());
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -0,0 +1,270 @@
+package org.onyxhinge.core.place;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+class PlacementTest {
+
+    private static final String SERVICE = "writers";
+    private static final int SLOTS = 3;
+
+    private final Placement placement = Placement.create("here");
+
+    private Target target(String id, String dataCentre, boolean ready) {
+        return new Target(id, SERVICE, "10.0.0.1", 80, dataCentre, SLOTS, ready, 0);
+    }
+
+    private Call call(int rank, long nowMs) {
+        return Call.of(SERVICE, nowMs)
+                .rank(rank, false)
+                .times(nowMs + 400, nowMs + 1_000)
+                .work(600, 40)
+                .build();
+    }
+
+    private Verdict.Send sent(Verdict v) {
+        assertThat(v, instanceOf(Verdict.Send.class));
+        return (Verdict.Send) v;
+    }
+
+    private List<Verdict.Send> fill(int n) {
+        List<Verdict.Send> out = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            out.add(sent(placement.submit(call(1, 0), 0)));
+        }
+        return out;
+    }
+
+    /** Ends calls at a steady pace, so that the rate at which places fall free is known. */
+    private void workOff(int n, long everyMs) {
+        for (int i = 0; i < n; i++) {
+            Verdict.Send s = sent(placement.submit(call(1, i * everyMs), i * everyMs));
+            placement.ended(s.call(), s.target(), false, i * everyMs);
+        }
+    }
+
+    @Nested
+    class Places {
+
+        @Test
+        void noMoreIsSentThanATargetRunsAtOnce() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(50, 20);
+            fill(SLOTS);
+            assertThat(placement.submit(call(1, 1_000), 1_000), instanceOf(Verdict.Wait.class));
+        }
+
+        @Test
+        void whatPeersRunTakesPlacesToo() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(50, 20);
+            placement.peerUses("other", Map.of("a", new TargetUse(SLOTS, 0)));
+            assertThat(placement.submit(call(1, 1_000), 1_000), instanceOf(Verdict.Wait.class));
+            placement.peerUses("other", Map.of("a", new TargetUse(SLOTS - 1, 0)));
+            assertThat(placement.pump(1_010), hasSize(1));
+            placement.peerUses("other", Map.of());
+            sent(placement.submit(call(1, 1_020), 1_020));
+        }
+
+        @Test
+        void aPeersUseIsKnownForATargetSeenLater() {
+            placement.peerUses("other", Map.of("a", new TargetUse(2, 500)));
+            placement.targetSeen(target("a", "here", true));
+            assertThat(placement.target("a").orElseThrow().calls(), is(2));
+        }
+
+        @Test
+        void anEqualTargetNearByGoesFirst() {
+            placement.targetSeen(target("far", "there", true));
+            placement.targetSeen(target("near", "here", true));
+            assertThat(fill(1).getFirst().target().info().id(), is("near"));
+        }
+
+        @Test
+        void theFasterTargetGoesFirst() {
+            placement.targetSeen(target("slow", "here", true));
+            placement.targetSeen(target("fast", "here", true));
+            placement.target("slow").orElseThrow().learnGap(300);
+            placement.target("fast").orElseThrow().learnGap(25);
+            assertThat(fill(1).getFirst().target().info().id(), is("fast"));
+        }
+
+        @Test
+        void aLongPromptAheadSendsTheNextCallElsewhere() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            Call large = Call.of(SERVICE, 0).times(800, 1_400).work(50_000, 40).build();
+            TargetState first = sent(placement.submit(large, 0)).target();
+            assertThat(fill(1).getFirst().target(), is(not(first)));
+        }
+
+        @Test
+        void aTargetIsNotTriedTwice() {
+            placement.targetSeen(target("a", "here", true));
+            Call again = Call.of(SERVICE, 0)
+                    .times(400, 1_000)
+                    .work(1, 1)
+                    .avoid(Set.of("a"))
+                    .build();
+            assertThat(placement.submit(again, 0), not(instanceOf(Verdict.Send.class)));
+        }
+    }
+
+    @Nested
+    class Leaving {
+
+        @Test
+        void aLeavingTargetGetsNothingMore() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("a", "here", false));
+            assertThat(placement.submit(call(0, 0), 0), instanceOf(Verdict.Refuse.class));
+        }
+
+        @Test
+        void waitingCallsDoNotGoToIt() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(50, 20);
+            List<Verdict.Send> running = fill(SLOTS);
+            placement.submit(call(0, 1_000), 1_000);
+            placement.targetSeen(target("a", "here", false));
+            placement.ended(running.getFirst().call(), running.getFirst().target(), false, 1_010);
+            assertThat(placement.pump(1_010), is(empty()));
+        }
+
+        @Test
+        void aTargetGoneIsForgottenWhileItsCallsEnd() {
+            placement.targetSeen(target("a", "here", true));
+            Verdict.Send s = fill(1).getFirst();
+            placement.targetGone("a");
+            assertThat(s.target().takesCalls(), is(false));
+            placement.ended(s.call(), s.target(), false, 10);
+            assertThat(placement.targets(), is(empty()));
+        }
+    }
+
+    @Nested
+    class WhoWaits {
+
+        @Test
+        void theUrgentGoFirstThenThoseWhoCameBackThenByArrival() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(100, 10);
+            List<Verdict.Send> running = fill(SLOTS);
+            Call late = call(1, 1_000);
+            Call back = Call.of(SERVICE, 1_001)
+                    .rank(1, true)
+                    .times(1_400, 2_000)
+                    .work(1, 1)
+                    .build();
+            Call urgent = call(0, 1_002);
+            for (Call c : List.of(late, back, urgent)) {
+                assertThat(placement.submit(c, 1_002), instanceOf(Verdict.Wait.class));
+            }
+            running.forEach(s -> placement.ended(s.call(), s.target(), false, 1_010));
+            List<Call> order = placement.pump(1_010).stream().map(Verdict::call).toList();
+            assertThat(order, is(List.of(urgent, back, late)));
+        }
+
+        @Test
+        void aBurstIsRefusedAtOnceOnceItWouldWaitTooLong() {
+            // Three times the capacity for a second: the queue holds what can start in time, the rest is told now.
+            placement.targetSeen(target("a", "here", true));
+            workOff(100, 10);
+            fill(SLOTS);
+            int waiting = 0;
+            long retryMs = 0;
+            for (int i = 0; i < 300; i++) {
+                Verdict v = placement.submit(call(1, 1_000 + i), 1_000 + i);
+                waiting += v instanceof Verdict.Wait ? 1 : 0;
+                retryMs = v instanceof Verdict.Refuse r ? r.retryAfterMs() : retryMs;
+            }
+            assertThat(waiting, is(greaterThan(20)));
+            assertThat(waiting, is(lessThan(150)));
+            assertThat(retryMs, is(greaterThan(300L)));
+        }
+
+        @Test
+        void whoHasWaitedAsLongAsItMayIsToldThen() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(100, 10);
+            fill(SLOTS);
+            placement.submit(call(1, 1_000), 1_000);
+            assertThat(placement.pump(1_999), is(empty()));
+            assertThat(placement.pump(2_000).getFirst(), instanceOf(Verdict.Refuse.class));
+        }
+
+        @Test
+        void whoLeavesIsForgotten() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(100, 10);
+            List<Verdict.Send> running = fill(SLOTS);
+            Call c = call(1, 1_000);
+            placement.submit(c, 1_000);
+            placement.withdraw(c);
+            placement.ended(running.getFirst().call(), running.getFirst().target(), false, 1_010);
+            assertThat(placement.pump(1_010), is(empty()));
+        }
+    }
+
+    @Nested
+    class Health {
+
+        @Test
+        void anUnreachableTargetIsLeftAloneAndTriedByOneCallLater() {
+            placement.targetSeen(target("a", "here", true));
+            workOff(50, 1);
+            Verdict.Send s = fill(1).getFirst();
+            placement.unreachable(s.target(), 0);
+            placement.ended(s.call(), s.target(), false, 0);
+            assertThat(placement.submit(call(0, 100), 100), not(instanceOf(Verdict.Send.class)));
+            assertThat(placement.pump(300), hasSize(1));
+            assertThat(placement.submit(call(0, 310), 310), not(instanceOf(Verdict.Send.class)));
+        }
+
+        @Test
+        void aRouterThatHasSeenNothingEndYetStillLetsCallsWait() {
+            placement.targetSeen(target("a", "here", true));
+            placement.peerUses("other", Map.of("a", new TargetUse(SLOTS, 0)));
+            Call call = Call.of(SERVICE, 0).times(800, 4_000).work(600, 40).build();
+            assertThat(placement.submit(call, 0), instanceOf(Verdict.Wait.class));
+        }
+
+        @Test
+        void aTargetThatFailsWhileItsServiceDoesNotIsTheLastChoice() {
+            for (String id : List.of("a", "b", "c")) {
+                placement.targetSeen(target(id, "here", true));
+            }
+            for (int i = 0; i < 20; i++) {
+                placement.answered(placement.target("a").orElseThrow(), false, i);
+                placement.answered(placement.target("b").orElseThrow(), true, i);
+                placement.answered(placement.target("c").orElseThrow(), true, i);
+            }
+            List<String> used =
+                    fill(2 * SLOTS).stream().map(s -> s.target().info().id()).toList();
+            assertThat(used.contains("a"), is(false));
+            assertThat(fill(1).getFirst().target().info().id(), is("a"));
+        }
+
+        @Test
+        void aTargetThatTurnsCallsAwayRestsForAMoment() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            placement.shed(placement.target("a").orElseThrow(), 0);
+            assertThat(fill(1).getFirst().target().info().id(), is("b"));
+        }
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
-import org.onyxhinge.core.place.Placement;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.wire.MonotonicClock;
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -185,7 +185,9 @@
         Call call = Call.of(service, arrivedAtMs)
                 .rank(rank(), returned)
                 .times(onTimeUntilMs, Math.max(holdUntilMs, caller.headSent() ? endsAtMs : 0))
-                .work(model ? head.promptTokens() : 0, model ? forwarder.lengths().expectedEvents(route, head) : 0)
+                .work(
+                        model ? head.promptTokens() : 0,
+                        model ? forwarder.lengths().expectedEvents(route, head) : 0)
                 .avoid(tried)
                 .build();
         verdict(forwarder.placement().submit(call, nowMs));
@@ -245,8 +247,7 @@
                 .protocol()
                 .writeCall(
                         request.headers(),
-                        new OutgoingCall(
-                                target.info().id(), leftMs, workspace.map(WorkspaceAccess::name), resumeAfter),
+                        new OutgoingCall(target.info().id(), leftMs, workspace.map(WorkspaceAccess::name), resumeAfter),
                         options.getHeaders() == null
                                 ? options.setHeaders(io.vertx.core.MultiMap.caseInsensitiveMultiMap())
                                         .getHeaders()
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -85,8 +85,7 @@
         this.freshness = freshness;
         this.metrics = ForwardingMetrics.create(m);
         this.placement = Placement.create(settings.dataCentre());
-        this.retries =
-                RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
+        this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.connections = TargetConnections.create(vertx);
         this.quotas = new WorkspaceQuotas(settings.quotaWindowMs(), MonotonicClock.nowMs());
     }
@@ -159,7 +158,10 @@
             config = newer;
             LOG.infof(
                     "config in force version=%d before=%d routes=%d early=%d",
-                    newer.version(), before == null ? -1 : before.version(), newer.routes().size(), early.size());
+                    newer.version(),
+                    before == null ? -1 : before.version(),
+                    newer.routes().size(),
+                    early.size());
             List<Exchange> held = List.copyOf(early);
             early.clear();
             held.forEach(Exchange::check);
@@ -314,7 +316,8 @@
             }
         }
         silent.forEach(a -> a.giveUpSilent("silent for " + a.silentMs(nowMs) + " ms"));
-        connections.sweep(id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
+        connections.sweep(
+                id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
         quotas.routers(peers.known(), peers.heardPart());
         if (config != null) {
             callers.closeIdleLongerThan(config.limits().idleTimeoutMs());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -104,8 +104,7 @@
             BiConsumer<String, PeerMessage.Usage> usageHeard) {
         RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, recent, usageHeard);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
-                .connectHandler(
-                        socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
+                .connectHandler(socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
                 .listen(settings.peerPort(), settings.peerHost())
                 .map(server -> {
                     vertx.setPeriodic(SEND_MS, t -> peers.beat());
@@ -155,7 +154,9 @@
 
     private void received(PeerMessage message) {
         if (!(message instanceof PeerMessage.Usage usage)) {
-            LOG.warnf("unexpected message between routers type=%s", message.getClass().getSimpleName());
+            LOG.warnf(
+                    "unexpected message between routers type=%s",
+                    message.getClass().getSimpleName());
             return;
         }
         Heard h = heard.computeIfAbsent(usage.routerId(), id -> new Heard());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Silence.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Silence.java
@@ -20,7 +20,8 @@
         if (!a.repeatable() || a.silentMs(nowMs) < SILENT_MS) {
             return false;
         }
-        double readingMs = a.firstByteSeen() ? 0 : PREFILL_ALLOWANCE * a.target().firstByteMs(a.call());
+        double readingMs =
+                a.firstByteSeen() ? 0 : PREFILL_ALLOWANCE * a.target().firstByteMs(a.call());
         boolean targetSilent = nowMs - placement.heardAtMs(a.target()) >= SILENT_MS + readingMs;
         return targetSilent && a.silentMs(nowMs) >= SILENT_MS + readingMs;
     }
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/EventSplitterProperties.java
@@ -0,0 +1,53 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Optional;
+import java.util.Random;
+
+import io.vertx.core.buffer.Buffer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class EventSplitterProperties {
+
+    @Property(tries = 300, seed = "23")
+    void eventsComeOutWholeHoweverTheirBytesArrive(
+            @ForAll @IntRange(min = 0, max = 12) int events,
+            @ForAll @IntRange(min = 1, max = 9) int most,
+            @ForAll boolean crlf,
+            @ForAll long seed) {
+        String eol = crlf ? "\r\n" : "\n";
+        StringBuilder text = new StringBuilder();
+        for (int i = 1; i <= events; i++) {
+            text.append("id: ").append(i).append(eol).append("data: token ").append(i);
+            text.append(eol).append(eol);
+        }
+        String cut = "id: 99" + eol + "data: to";
+        byte[] all = (text + cut).getBytes();
+        EventSplitter splitter = new EventSplitter();
+        Random random = new Random(seed);
+        StringBuilder out = new StringBuilder();
+        for (int at = 0; at < all.length; ) {
+            int n = Math.min(all.length - at, 1 + random.nextInt(most));
+            Optional<Buffer> whole = splitter.feed(Buffer.buffer(java.util.Arrays.copyOfRange(all, at, at + n)));
+            whole.ifPresent(b -> out.append(b));
+            at += n;
+        }
+        assertThat(out.toString(), is(text.toString()));
+        assertThat(splitter.events(), is(events));
+        assertThat(splitter.lastId(), is(events == 0 ? Optional.empty() : Optional.of("" + events)));
+        assertThat(splitter.rest().toString(), is(cut));
+    }
+
+    @Test
+    void anEventMayHaveOtherLinesBeforeItsId() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.feed(Buffer.buffer("x-weight-versions: 3\nid:7\ndata: a\n\n: comment\n\n"));
+        assertThat(splitter.lastId(), is(Optional.of("7")));
+        assertThat(splitter.events(), is(2));
+    }
+}
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/HopHeadersTest.java
@@ -0,0 +1,67 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Set;
+
+import io.vertx.core.MultiMap;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class HopHeadersTest {
+
+    @Test
+    void headersOfOneConnectionAndThoseItListsStayBehind() {
+        MultiMap from = MultiMap.caseInsensitiveMultiMap()
+                .add("Connection", "close, X-Private")
+                .add("X-Private", "1")
+                .add("Keep-Alive", "timeout=5")
+                .add("Transfer-Encoding", "chunked")
+                .add("Content-Length", "4")
+                .add("Accept", "a")
+                .add("Accept", "b")
+                .add("Dropped", "x");
+        MultiMap to = MultiMap.caseInsensitiveMultiMap();
+        HopHeaders.copy(from, to, Set.of("dropped"));
+        assertThat(to.names(), contains("Accept"));
+        assertThat(to.getAll("Accept"), contains("a", "b"));
+    }
+
+    @Nested
+    class IdleTime {
+
+        @Test
+        void isWhatTheTargetNamesLessAMargin() {
+            assertThat(TargetConnections.idleMs("timeout=5, max=100"), is(4_600L));
+            assertThat(TargetConnections.idleMs("max=100, Timeout = 2"), is(1_600L));
+        }
+
+        @Test
+        void isShortWhereNoneIsNamed() {
+            assertThat(TargetConnections.idleMs(null), is(500L));
+            assertThat(TargetConnections.idleMs("timeout=soon"), is(500L));
+        }
+    }
+
+    @Nested
+    class Proof {
+
+        @Test
+        void keysAreNotBelievedBeforeTheStoreHasConfirmedThem() {
+            Freshness f = Freshness.within(5_000);
+            assertThat(f.holds(), is(false));
+            f.proved(f.stampMs());
+            assertThat(f.holds(), is(true));
+            assertThat(Freshness.within(0).holds(), is(true));
+        }
+
+        @Test
+        void anOldProofDoesNotHold() {
+            Freshness f = Freshness.within(5_000);
+            f.proved(f.stampMs() - 3_600);
+            assertThat(f.holds(), is(false));
+        }
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/FootprintCommand.java
@@ -17,9 +17,9 @@
 import org.onyxhinge.router.cli.RouterMain;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Logs;
+import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.tools.ToolsMain;
-import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.tools.load.Driver;
 
 /**
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -23,8 +23,8 @@
 import org.onyxhinge.router.admin.SetupFile;
 import org.onyxhinge.router.cli.RouterMain;
 import org.onyxhinge.runtime.Launch;
-import org.onyxhinge.runtime.Settings;
 import org.onyxhinge.runtime.Ports;
+import org.onyxhinge.runtime.Settings;
 import org.onyxhinge.tools.load.Driver;
 
 /**
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.wire;
 
 import java.util.List;
+import java.util.Map;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -9,6 +10,7 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
+import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvCodec;
@@ -74,13 +76,25 @@
         }
     }
 
+    @Property(tries = 300, seed = "14")
+    void whatRoutersTellEachOtherSurvivesTheRoundTrip(
+            @ForAll @Size(max = 20) Map<String, Long> units, @ForAll long life, @ForAll boolean whole) {
+        Map<String, TargetUse> uses = Map.of("w1", new TargetUse(3, life), "w2", new TargetUse(0, 0));
+        PeerMessage.Usage usage = new PeerMessage.Usage("r1", life, whole, uses, units, Map.of());
+        assertThat(PeerCodec.decode(PeerCodec.encode(usage)), equalTo(usage));
+    }
+
     /** Damages one byte of a valid message: closer to the decoder's inner branches than random bytes. */
     @Property(tries = 3_000, seed = "13")
     void aDamagedMessageRaisesOnlyTheDecodersOwnError(
             @ForAll @IntRange(max = 100) int at, @ForAll byte damage, @ForAll OrderKind kind) {
         byte[] order = PeerCodec.encode(new PeerMessage.OrderRequest(7, new Order(kind, "model-v2", 12)));
         byte[] put = KvCodec.encode(new KvMessage.Put(7, "config/tier/gold", new byte[] {1, 2}, 3, 4));
+        byte[] usage = PeerCodec.encode(new PeerMessage.Usage(
+                "r1", 7, true, Map.of("w1", new TargetUse(3, 900)), Map.of("agency", 70L), Map.of("agency", 7L)));
         order[at % order.length] = damage;
+        usage[at % usage.length] = damage;
+        peerDecoderRejectsGarbageWithItsOwnError(usage);
         put[at % put.length] = damage;
         peerDecoderRejectsGarbageWithItsOwnError(order);
         kvDecoderRejectsGarbageWithItsOwnError(put);
