--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -99,7 +98,7 @@
         }
         arrivalRate(call).event(nowMs);
         WaitingCalls queue = queue(call.service());
-        if (queue.ahead(call.rank()) == 0) {
+        if (queue.ahead(call.rank(), c -> true) == 0) {
             Optional<TargetState> free = service.best(call, nowMs);
             if (free.isPresent()) {
                 return send(call, free.get(), nowMs);
@@ -121,21 +120,20 @@
     }
 
     private void pump(ServiceTargets service, WaitingCalls queue, long nowMs, List<Verdict> out) {
-        boolean room = true;
-        for (Iterator<Call> it = queue.iterator(); it.hasNext(); ) {
-            Call call = it.next();
-            if (nowMs >= call.holdUntilMs()) {
-                it.remove();
-                long waitMs = expectedWaitMs(call, nowMs);
-                out.add(new Verdict.Refuse(call, Verdict.Reason.WAITED, retryAfterMs(waitMs)));
-                continue;
-            }
-            Optional<TargetState> free = room ? service.best(call, nowMs) : Optional.empty();
+        for (Call call : queue.take(c -> nowMs >= c.holdUntilMs())) {
+            long waitMs = expectedWaitMs(call, nowMs);
+            out.add(new Verdict.Refuse(call, Verdict.Reason.WAITED, retryAfterMs(waitMs)));
+        }
+        if (queue.isEmpty() || !service.anyRoom(nowMs)) {
+            return;
+        }
+        for (Call call : queue.inOrder(c -> service.canBeOnTime(c, nowMs))) {
+            Optional<TargetState> free = service.best(call, nowMs);
             if (free.isPresent()) {
-                it.remove();
+                queue.remove(call);
                 out.add(send(call, free.get(), nowMs));
             } else if (call.avoid().isEmpty()) {
-                room = false;
+                return;
             }
         }
     }
@@ -225,7 +223,9 @@
             urgent += e.getKey() < call.rank() ? e.getValue().perSecond(nowMs) : 0;
         }
         double left = Math.max(drain - urgent, drain * LEAST_DRAIN_PART);
-        return (long) ((queue(call.service()).ahead(call.rank()) + 1) / left * MS_PER_SECOND);
+        ServiceTargets service = services.get(call.service());
+        int ahead = queue(call.service()).ahead(call.rank(), c -> service.canBeOnTime(c, nowMs));
+        return (long) ((ahead + 1) / left * MS_PER_SECOND);
     }
 
     private static long retryAfterMs(long waitMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -106,6 +106,25 @@
         return targets.isEmpty() ? 0 : sum / targets.size();
     }
 
+    boolean anyRoom(long nowMs) {
+        for (TargetState t : targets) {
+            if (t.hasRoom(nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True when the first byte of a call would be on time if it were sent now. */
+    boolean canBeOnTime(Call call, long nowMs) {
+        for (TargetState t : targets) {
+            if (t.takesCalls() && nowMs + t.firstByteMs(call) <= call.onTimeUntilMs()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** How long such a call usually takes on the service's targets. */
     double usualMs(Call call) {
         double sum = 0;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -1,64 +1,62 @@
 package org.onyxhinge.core.place;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
-import java.util.TreeSet;
+import java.util.List;
+import java.util.function.Predicate;
 
 /**
- * Calls of one service that wait for room: by rank, callers who were sent away and came back first within
- * a rank, then by arrival.
+ * Calls of one service that wait for room. By rank; within a rank those that can still be on time go before
+ * those that cannot, or one burst would make every later call late as well; of either, callers who were sent
+ * away and came back go first, then by arrival.
  */
-final class WaitingCalls implements Iterable<Call> {
+final class WaitingCalls {
 
-    private final TreeSet<Entry> entries = new TreeSet<>(Comparator.comparingInt((Entry e) -> e.call.rank())
-            .thenComparing(e -> !e.call.returned())
-            .thenComparingLong(e -> e.number));
-    private long nextNumber;
-
-    private record Entry(Call call, long number) {}
+    private final List<Call> calls = new ArrayList<>();
 
     void add(Call call) {
-        entries.add(new Entry(call, nextNumber++));
+        calls.add(call);
     }
 
     boolean remove(Call call) {
-        return entries.removeIf(e -> e.call == call);
+        return calls.removeIf(c -> c == call);
     }
 
     int size() {
-        return entries.size();
+        return calls.size();
     }
 
-    /** Calls that go before a newcomer of {@code rank}. */
-    int ahead(int rank) {
-        int n = 0;
-        for (Entry e : entries) {
-            if (e.call.rank() > rank) {
-                break;
-            }
-            n++;
-        }
-        return n;
+    boolean isEmpty() {
+        return calls.isEmpty();
     }
 
-    @Override
-    public Iterator<Call> iterator() {
-        Iterator<Entry> inner = entries.iterator();
-        return new Iterator<>() {
-            @Override
-            public boolean hasNext() {
-                return inner.hasNext();
-            }
+    /** Takes out those that match. */
+    List<Call> take(Predicate<Call> which) {
+        List<Call> out = new ArrayList<>();
+        calls.removeIf(c -> which.test(c) && out.add(c));
+        return out;
+    }
 
-            @Override
-            public Call next() {
-                return inner.next().call;
-            }
+    /** Everyone in the order in which they go. */
+    List<Call> inOrder(Predicate<Call> onTime) {
+        record Place(Call call, boolean late, int number) {}
+        List<Place> places = new ArrayList<>();
+        for (int i = 0; i < calls.size(); i++) {
+            places.add(new Place(calls.get(i), !onTime.test(calls.get(i)), i));
+        }
+        places.sort(Comparator.comparingInt((Place p) -> p.call.rank())
+                .thenComparing(Place::late)
+                .thenComparing(p -> !p.call.returned())
+                .thenComparingInt(Place::number));
+        return places.stream().map(Place::call).toList();
+    }
 
-            @Override
-            public void remove() {
-                inner.remove();
-            }
-        };
+    /** Calls that go before a newcomer of {@code rank} that can be on time. */
+    int ahead(int rank, Predicate<Call> onTime) {
+        int n = 0;
+        for (Call c : calls) {
+            n += c.rank() < rank || c.rank() == rank && onTime.test(c) ? 1 : 0;
+        }
+        return n;
     }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -159,6 +159,34 @@
     @Nested
     class WhoWaits {
 
+        private Call timed(int rank, boolean returned, long onTimeUntilMs) {
+            return Call.of(SERVICE, 1_000)
+                    .rank(rank, returned)
+                    .times(onTimeUntilMs, 3_000)
+                    .work(1, 1)
+                    .build();
+        }
+
+        @Test
+        void afterABurstTheLateYieldToThoseWhoCanBeOnTime() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            workOff(100, 10);
+            List<Verdict.Send> running = fill(2 * SLOTS);
+            Call late = timed(1, false, 1_005);
+            Call back = timed(1, true, 1_005);
+            Call onTime = timed(1, false, 1_800);
+            Call onTimeToo = timed(1, false, 1_800);
+            Call urgent = timed(0, false, 1_005);
+            Call lowest = timed(2, false, 1_800);
+            for (Call c : List.of(lowest, late, back, onTime, onTimeToo, urgent)) {
+                assertThat(placement.submit(c, 1_002), instanceOf(Verdict.Wait.class));
+            }
+            running.forEach(s -> placement.ended(s.call(), s.target(), false, 1_010));
+            List<Call> order = placement.pump(1_010).stream().map(Verdict::call).toList();
+            assertThat(order, is(List.of(urgent, onTime, onTimeToo, back, late, lowest)));
+        }
+
         @Test
         void theUrgentGoFirstThenThoseWhoCameBackThenByArrival() {
             placement.targetSeen(target("a", "here", true));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -44,6 +44,8 @@
     }
 
     private void copyHead(int status, HttpClientResponse from) {
+        // A head goes out with the first event; one that was copied before its target broke off is void.
+        response.headers().clear();
         response.setStatusCode(status);
         if (from.statusMessage() != null && !from.statusMessage().isEmpty()) {
             response.setStatusMessage(from.statusMessage());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -98,7 +98,6 @@
             forwarder.holdEarly(this);
             return;
         }
-        request.resume();
         var read = forwarder.protocol().readCall(request);
         if (read.isLeft()) {
             fail(400, "malformed", read.getLeft());
@@ -158,6 +157,7 @@
                 admit();
             }
         });
+        request.resume();
     }
 
     private void admit() {
@@ -459,6 +459,8 @@
             return;
         }
         over = true;
+        // What is left of a body nobody wants is read and dropped, so that the connection can be used on.
+        request.handler(b -> {}).resume();
         if (timerId >= 0) {
             forwarder.vertx().cancelTimer(timerId);
         }
