--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -29,6 +29,9 @@
     /** Part of the drain rate that is always assumed left for a rank, so that an estimate stays finite. */
     private static final double LEAST_DRAIN_PART = 0.05;
 
+    /** Part of the places' usual turnover that is counted on before ends have been seen. */
+    private static final double CERTAIN_DRAIN_PART = 0.7;
+
     private final String dataCentre;
     private final Map<String, ServiceTargets> services = new HashMap<>();
     private final Map<String, TargetState> targets = new HashMap<>();
@@ -214,10 +217,7 @@
      * arrivals of more urgent ranks will take meanwhile.
      */
     private long expectedWaitMs(Call call, long nowMs) {
-        double measured = drainRate(call.service()).perSecond(nowMs);
-        // Before ends have been seen, places fall free about as often as one call takes its usual time.
-        double drain =
-                Math.max(measured, MS_PER_SECOND / services.get(call.service()).usualMs(call));
+        double drain = Math.max(drainRate(call.service()).perSecond(nowMs), fullDrainPerSecond(call));
         double urgent = 0;
         for (Map.Entry<Integer, Rate> e : arrivals.get(call.service()).entrySet()) {
             urgent += e.getKey() < call.rank() ? e.getValue().perSecond(nowMs) : 0;
@@ -228,6 +228,13 @@
         return (long) ((ahead + 1) / left * MS_PER_SECOND);
     }
 
+    /** How often a place falls free for this router while all are taken, its peers having the same part. */
+    private double fullDrainPerSecond(Call call) {
+        ServiceTargets service = services.get(call.service());
+        double all = service.slots() * MS_PER_SECOND / service.usualMs(call);
+        return CERTAIN_DRAIN_PART * all / (peerUses.size() + 1);
+    }
+
     private static long retryAfterMs(long waitMs) {
         return Math.max(SHORTEST_RETRY_MS, Math.min(LONGEST_RETRY_MS, waitMs));
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -125,6 +125,15 @@
         return false;
     }
 
+    /** Slots of the targets that take calls. */
+    int slots() {
+        int n = 0;
+        for (TargetState t : targets) {
+            n += t.takesCalls() ? t.info().slots() : 0;
+        }
+        return Math.max(1, n);
+    }
+
     /** How long such a call usually takes on the service's targets. */
     double usualMs(Call call) {
         double sum = 0;
