A stream's head is kept until its first event, so no failure of ours bears an engine's signature

Ruled out: a 502 of the engine's own (it had sent 200). Change: the head is noted and copied with the first event; clearing it again is no longer needed. aFailureOfOursNeverBearsAnEnginesSignature fails before, passes after.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -16,6 +16,10 @@
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final BooleanSupplier draining;
+    private StreamHead streamHead;
+
+    /** The head of a stream whose first event has not come. */
+    private record StreamHead(int status, HttpClientResponse from) {}
 
     CallerSide(HttpServerRequest request, BooleanSupplier draining) {
         this.request = request;
@@ -37,15 +41,22 @@
         }
     }
 
-    /** Passes the head of a stream on. */
+    /**
+     * Notes the head of a stream. It goes out with the first event: until then the target may break off, and
+     * what follows is another target's answer or a failure of ours, which must not bear this one's signature.
+     */
     void beginStream(int status, HttpClientResponse from) {
-        copyHead(status, from);
-        response.setChunked(true);
+        streamHead = new StreamHead(status, from);
+    }
+
+    private void sendStreamHead() {
+        if (!response.headWritten()) {
+            copyHead(streamHead.status(), streamHead.from());
+            response.setChunked(true);
+        }
     }
 
     private void copyHead(int status, HttpClientResponse from) {
-        // A head goes out with the first event; one that was copied before its target broke off is void.
-        response.headers().clear();
         response.setStatusCode(status);
         if (from.statusMessage() != null && !from.statusMessage().isEmpty()) {
             response.setStatusMessage(from.statusMessage());
@@ -56,6 +67,7 @@
 
     /** Writes bytes of a stream; true when the caller does not keep up. */
     boolean write(Buffer bytes) {
+        sendStreamHead();
         response.write(bytes);
         return response.writeQueueFull();
     }
@@ -65,6 +77,7 @@
     }
 
     void endStream() {
+        sendStreamHead();
         response.end();
     }
 
