--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -39,8 +39,12 @@
      */
     private static final long LATE_HOLD_MS = 600;
 
-    private static final long NO_CONFIG_RETRY_MS = 500;
-    private static final long NO_PROOF_RETRY_MS = 1_000;
+    /**
+     * For refusals that concern this router alone: a caller who comes back meets another one, so the best time
+     * is at once; a little later lets a balancer that has just lost this one take notice.
+     */
+    private static final long ELSEWHERE_RETRY_MS = 40;
+
     /** Below this, a further target could not answer in time. */
     private static final long LEAST_TIME_FOR_RETRY_MS = 30;
 
@@ -122,13 +126,13 @@
 
     /** The first configuration has not come in time. */
     void refuseEarly() {
-        refuse("no_config", NO_CONFIG_RETRY_MS);
+        refuse("no_config", ELSEWHERE_RETRY_MS);
     }
 
     private boolean authorised() {
         workspace = head.apiKey().flatMap(config::workspaceOfKey);
         if (!forwarder.freshness().holds()) {
-            refuse("no_fresh_proof", NO_PROOF_RETRY_MS);
+            refuse("no_fresh_proof", ELSEWHERE_RETRY_MS);
             return false;
         }
         if (workspace.isEmpty()) {
