An ended exchange is let go of; a planned stop sends late calls elsewhere

(2) Before that too: a router under a planned stop took calls up to the end of its grace; those sent later than 3 s after SIGTERM and cut at its end are lost. Ruled out: the readiness (off at once, seen by the balancer).

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -97,6 +97,10 @@
         if (over) {
             return;
         }
+        if (forwarder.leaving()) {
+            refuse("leaving", ELSEWHERE_RETRY_MS);
+            return;
+        }
         config = forwarder.config();
         if (config == null) {
             forwarder.holdEarly(this);
@@ -463,8 +467,10 @@
             return;
         }
         over = true;
-        // What is left of a body nobody wants is read and dropped, so that the connection can be used on.
-        request.handler(b -> {}).resume();
+        if (!request.isEnded()) {
+            // What is left of a body nobody wants is read and dropped, so that the connection can be used on.
+            request.handler(b -> {}).resume();
+        }
         if (timerId >= 0) {
             forwarder.vertx().cancelTimer(timerId);
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -76,6 +76,7 @@
     private boolean pumping;
     private volatile ForwardingConfig config;
     private volatile boolean draining;
+    private volatile long drainingSinceMs;
 
     private Forwarder(
             Vertx vertx, ForwardingSettings settings, CallProtocol protocol, Freshness freshness, MetricRegistry m) {
@@ -210,14 +211,20 @@
         return draining;
     }
 
+    /** True once a planned stop takes no more calls: the balancer has had time to send callers elsewhere. */
+    boolean leaving() {
+        return draining && MonotonicClock.nowMs() - drainingSinceMs > DRAIN_ACCEPT_MS;
+    }
+
     /**
      * Planned stop: new connections are still served until the balancer has taken this router out, every
      * answer closes its connection, and what is in progress has the grace to finish.
      */
     public Future<Void> drain() {
         Promise<Void> done = Promise.promise();
-        draining = true;
         long stopAtMs = MonotonicClock.nowMs();
+        drainingSinceMs = stopAtMs;
+        draining = true;
         LOG.infof("draining started graceMs=%d", settings.graceMs());
         context.runOnContext(v -> vertx.setPeriodic(SWEEP_MS, t -> {
             long tookMs = MonotonicClock.nowMs() - stopAtMs;
@@ -248,6 +255,7 @@
                 .put("proofAgeMs", freshness.ageMs())
                 .put("draining", draining)
                 .put("exchanges", exchanges.size())
+                .put("attempts", attempts.size())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openNow())
