Quotas after restarts: believe a peer that knows the window; a process that ended is not unheard

Change: a restarted router presumes 0.9 of the limit, falling away evenly, until a peer that knows the window says what was used; nobody counts another's presumption.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
+import java.util.OptionalLong;
 
 /**
  * A workspace's quota, shared by all routers: in any window, the rate times the window plus the burst. A
@@ -28,38 +28,46 @@
      */
     private static final int BUCKET_BURSTS = 2;
 
-    private final Map<String, Long> heardTotals = new HashMap<>();
+    /** Part of the limit that is taken as used after a restart; the rest serves until the first of it falls away. */
+    private static final double PRESUMED_PART = 0.9;
+
+    private final Map<String, Heard> heard = new HashMap<>();
     private final long windowMs;
     private final SlidingCount used;
-    private final SlidingCount ownUsed;
     private double perSecond;
     private double burst;
+    private long knownFromMs;
     private long ownTotal;
     private double level;
     private long refilledAtMs;
 
+    /** What a router last said: which of its starts that was, and its running total. */
+    private record Heard(long life, long total) {}
+
     private SharedQuota(double perSecond, double burst, long windowMs) {
         this.perSecond = perSecond;
         this.burst = burst;
         this.windowMs = windowMs;
         this.used = SlidingCount.over(windowMs);
-        this.ownUsed = SlidingCount.over(windowMs);
     }
 
     /**
      * Creates a quota; {@code perSecond} and {@code burst} are over all routers.
      *
-     * @param earlierPart the part of the limit that this router may have used before it was restarted. It
-     *     is taken as used, also by the others, and falls away evenly over a window: faster than a workspace
-     *     within its limit uses it up, so that only those beyond it notice
+     * @param known whether nothing can have been used that is not known here. After a restart it can: most of
+     *     the limit is then taken as used and falls away evenly over a window, faster than a workspace within
+     *     its limit uses it up, until a router that knows says what was used
      */
-    public static SharedQuota create(double perSecond, double burst, long windowMs, double earlierPart, long nowMs) {
+    public static SharedQuota create(double perSecond, double burst, long windowMs, boolean known, long nowMs) {
         SharedQuota quota = new SharedQuota(perSecond, burst, windowMs);
-        long earlier = (long) (quota.limit(1) * earlierPart);
-        quota.used.spread(nowMs, earlier);
-        quota.ownUsed.spread(nowMs, earlier);
-        quota.level = quota.capacity() / (earlierPart > 0 ? 2 : 1);
+        quota.knownFromMs = known ? nowMs : nowMs + windowMs;
         quota.refilledAtMs = nowMs;
+        if (known) {
+            quota.level = quota.capacity();
+        } else {
+            quota.level = quota.capacity() / 2;
+            quota.used.spread(nowMs, (long) (quota.limit(1) * PRESUMED_PART));
+        }
         return quota;
     }
 
@@ -95,7 +103,6 @@
         }
         level -= units;
         used.add(nowMs, units);
-        ownUsed.add(nowMs, units);
         ownTotal += units;
         return true;
     }
@@ -112,7 +119,6 @@
     public void giveBack(long units, long nowMs) {
         level += units;
         used.add(nowMs, -units);
-        ownUsed.add(nowMs, -units);
         ownTotal -= units;
     }
 
@@ -129,29 +135,29 @@
         return ownTotal;
     }
 
-    /** What this router has let through in the window, for others that hear it for the first time. */
-    public long ownRecent(long nowMs) {
-        return ownUsed.total(nowMs);
+    /** What all routers have let through in the window, if that is known here. */
+    public OptionalLong knownWindow(long nowMs) {
+        return nowMs >= knownFromMs ? OptionalLong.of(used.total(nowMs)) : OptionalLong.empty();
     }
 
     /**
      * Takes another router's running total into account.
      *
-     * @param routerLife the router and its start, so that a restarted one begins anew
-     * @param recent what it used in its window; counts where it is heard for the first time
+     * @param router the router
+     * @param life a number that differs at each start of it
+     * @param total what it has let through since that start
+     * @param window what it knows that all routers let through in the window, if it does
      */
-    public void heard(String routerLife, long total, long recent, long nowMs) {
-        Long before = heardTotals.put(routerLife, total);
-        if (before == null) {
-            used.spread(nowMs, recent);
-        } else {
-            used.add(nowMs, total - before);
-            level -= total - before;
+    public void heard(String router, long life, long total, OptionalLong window, long nowMs) {
+        Heard before = heard.put(router, new Heard(life, total));
+        if (window.isPresent() && nowMs < knownFromMs) {
+            used.clear();
+            used.spread(nowMs, window.getAsLong());
+            knownFromMs = nowMs;
+        } else if (before != null) {
+            long more = before.life() == life ? total - before.total() : total;
+            used.add(nowMs, more);
+            level -= more;
         }
     }
-
-    /** Forgets routers that are gone. */
-    public void keepOnly(Set<String> routerLives) {
-        heardTotals.keySet().retainAll(routerLives);
-    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Forgets everything. */
+    public void clear() {
+        Arrays.fill(counts, 0);
+    }
+
     /** How long until at least {@code amount} of what is in the window has left it. */
     public long untilLeftMs(long nowMs, long amount) {
         advance(nowMs);
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/limit/SharedQuotaProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/limit/SharedQuotaProperties.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -51,7 +51,7 @@
         List<Router> all = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
             Router r = new Router();
-            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
             all.add(r);
         }
         List<Taken> taken = new ArrayList<>();
@@ -85,7 +85,7 @@
         List<Router> all = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
             Router r = new Router();
-            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
             all.add(r);
         }
         List<Taken> taken = new ArrayList<>();
@@ -100,7 +100,7 @@
             boolean down = nowMs >= 12_000 && nowMs < 13_000;
             if (nowMs == 13_000) {
                 for (Router r : all) {
-                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 1.0 / routers, nowMs);
+                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, nowMs);
                 }
             }
             // Usual: a workspace asks for 1 / 1.8 of its rate; pressed: several times its rate.
@@ -127,10 +127,44 @@
         }
     }
 
+    /** Routers that are stopped and started in turn, at a workspace's usual rate: nothing of it is refused. */
+    @Property(tries = 20, seed = "413")
+    void restartsInTurnRefuseNothingOfTheUsual(@ForAll @IntRange(min = 2, max = 6) int routers, @ForAll long seed) {
+        Random random = new Random(seed);
+        List<Router> all = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            Router r = new Router();
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+            all.add(r);
+        }
+        double perStep = PER_SECOND / 1.8 * STEP_MS / 1_000 / routers / UNITS;
+        int refused = 0;
+        for (long nowMs = 0; nowMs < 25_000; nowMs += STEP_MS) {
+            for (int i = 0; i < routers; i++) {
+                Router r = all.get(i);
+                if (nowMs == 10_000 + i * 1_300L) {
+                    r.life++;
+                    r.inbox.clear();
+                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, nowMs);
+                }
+                deliver(r, nowMs, 20);
+                boolean mayTake = nowMs < 10_000 + i * 1_300L || nowMs > 10_200 + i * 1_300L;
+                if (random.nextDouble() < perStep && mayTake) {
+                    refused += r.quota.tryTake(UNITS, 0, 1, nowMs) ? 0 : 1;
+                }
+                if (nowMs % 60 == 0) {
+                    tellOthers(all, i, nowMs, false);
+                }
+            }
+        }
+        assertThat(refused, is(0));
+    }
+
     private static void deliver(Router r, long nowMs, int delayMs) {
         while (!r.inbox.isEmpty() && r.inbox.peek()[3] + delayMs <= nowMs) {
             long[] m = r.inbox.poll();
-            r.quota.heard("r" + m[0] + "/" + m[4], m[1], m[2], nowMs);
+            OptionalLong window = m[2] < 0 ? OptionalLong.empty() : OptionalLong.of(m[2]);
+            r.quota.heard("r" + m[0], m[4], m[1], window, nowMs);
         }
     }
 
@@ -138,7 +172,9 @@
         for (int to = 0; to < all.size(); to++) {
             if (to != from && !(cut && (to == 0 || from == 0))) {
                 SharedQuota q = all.get(from).quota;
-                all.get(to).inbox.add(new long[] {from, q.ownTotal(), q.ownRecent(nowMs), nowMs, all.get(from).life});
+                all.get(to).inbox.add(new long[] {
+                    from, q.ownTotal(), q.knownWindow(nowMs).orElse(-1), nowMs, all.get(from).life
+                });
             }
         }
     }
@@ -159,9 +195,9 @@
     }
 
     @Test
-    void aRestartedRouterTakesItsPartAsUsedAndHearsItsPeersWindow() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0.25, 0);
-        q.heard("peer/1", 1_000_000, LIMIT / 2, 0);
+    void aRestartedRouterBelievesAPeerThatKnowsTheWindow() {
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, 0);
+        q.heard("peer", 1, 1_000_000, OptionalLong.of(LIMIT * 3 / 4), 0);
         long left = 0;
         for (long nowMs = 10; nowMs < 1_000; nowMs += 5) {
             left += q.tryTake(100, 0, 1, nowMs) ? 100 : 0;
@@ -172,7 +208,7 @@
 
     @Test
     void nearTheLimitTheLessUrgentLeaveRoom() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
         int refused = 0;
         for (long nowMs = 10; nowMs < WINDOW_MS; nowMs += 10) {
             boolean lower = q.tryTake(500, 2, 1, nowMs);
@@ -184,7 +220,7 @@
 
     @Test
     void aLowerLimitBindsAtOnceAndWhatNeverRanIsGivenBack() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, 0, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
         long bucket = (long) (2 * BURST);
         assertThat(q.tryTake(bucket, 0, 1, 10), is(true));
         assertThat(q.waitMs(500, 0, 1, 10) > 0, is(true));
@@ -192,6 +228,5 @@
         q.limit(100, 100);
         assertThat(q.tryTake(800, 0, 1, 30), is(true));
         assertThat(q.tryTake(200, 0, 1, 40), is(false));
-        q.keepOnly(Set.of());
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -68,8 +68,8 @@
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
+    private final List<PeerMessage.Usage> earlyUsages = new ArrayList<>();
     private final CallerConnections callers = new CallerConnections();
-    private final Map<String, String> peerLives = new HashMap<>();
     private Context context;
     private RouterPeers peers;
     private HttpServer server;
@@ -122,7 +122,7 @@
                         settings,
                         this::ownUses,
                         quotas::totals,
-                        () -> quotas.recent(MonotonicClock.nowMs()),
+                        () -> quotas.knownWindows(MonotonicClock.nowMs()),
                         this::usageHeard)
                 .compose(p -> {
                     peers = p;
@@ -163,6 +163,8 @@
                     before == null ? -1 : before.version(),
                     newer.routes().size(),
                     early.size());
+            earlyUsages.forEach(u -> quotas.heard(u, this::workspace, MonotonicClock.nowMs()));
+            earlyUsages.clear();
             List<Exchange> held = List.copyOf(early);
             early.clear();
             held.forEach(Exchange::check);
@@ -277,13 +279,13 @@
 
     private void usageHeard(String routerId, PeerMessage.Usage usage) {
         placement.peerUses(routerId, usage.uses());
-        String life = routerId + "/" + usage.life();
-        String before = peerLives.put(routerId, life);
-        if (before != null && !before.equals(life)) {
-            quotas.keepOnly(new HashSet<>(peerLives.values()));
+        quotas.heardPart(peers.heardPart());
+        if (config == null) {
+            // Its workspaces are not known yet; a whole message is not sent again.
+            earlyUsages.add(usage);
+        } else {
+            quotas.heard(usage, this::workspace, MonotonicClock.nowMs());
         }
-        quotas.routers(peers.known(), peers.heardPart());
-        quotas.heard(life, usage.totals(), usage.recent(), this::workspace, MonotonicClock.nowMs());
         pumpSoon();
     }
 
@@ -326,7 +328,7 @@
         silent.forEach(a -> a.giveUpSilent("silent for " + a.silentMs(nowMs) + " ms"));
         connections.sweep(
                 id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
-        quotas.routers(peers.known(), peers.heardPart());
+        quotas.heardPart(peers.heardPart());
         if (config != null) {
             callers.closeIdleLongerThan(config.limits().idleTimeoutMs());
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward;
 
+import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -38,15 +40,21 @@
 
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final long DIAL_AGAIN_MS = 400;
-    /** A router that vanished without a word may still be serving; its part of the quotas is kept so long. */
+    /**
+     * A router whose registration lapsed may still be serving where nothing stops it; its part of the quotas is
+     * kept so long. Where keys must be proved fresh it has stopped before its registration could lapse.
+     */
     private static final long KEEP_VANISHED_MS = 10_000;
 
+    /** For so long after its VM refused a connection, a router's process is known not to run. */
+    private static final long REFUSED_MS = 1_500;
+
     private final Vertx vertx;
     private final ForwardingSettings settings;
     private final long life = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Supplier<Map<String, TargetUse>> uses;
     private final Supplier<Map<String, Long>> totals;
-    private final Supplier<Map<String, Long>> recent;
+    private final Supplier<Map<String, Long>> windows;
     private final BiConsumer<String, PeerMessage.Usage> usageHeard;
     private final NetClient client;
     private final PeerTraffic traffic = new PeerTraffic();
@@ -60,6 +68,7 @@
         private PeerConnection connection;
         private long connectedAtMs;
         private boolean dialling;
+        private long refusedAtMs = -REFUSED_MS;
         private boolean whole = true;
         private long sentAtMs;
         private Map<String, TargetUse> sentUses = Map.of();
@@ -82,13 +91,13 @@
             ForwardingSettings settings,
             Supplier<Map<String, TargetUse>> uses,
             Supplier<Map<String, Long>> totals,
-            Supplier<Map<String, Long>> recent,
+            Supplier<Map<String, Long>> windows,
             BiConsumer<String, PeerMessage.Usage> usageHeard) {
         this.vertx = vertx;
         this.settings = settings;
         this.uses = uses;
         this.totals = totals;
-        this.recent = recent;
+        this.windows = windows;
         this.usageHeard = usageHeard;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
@@ -100,9 +109,9 @@
             ForwardingSettings settings,
             Supplier<Map<String, TargetUse>> uses,
             Supplier<Map<String, Long>> totals,
-            Supplier<Map<String, Long>> recent,
+            Supplier<Map<String, Long>> windows,
             BiConsumer<String, PeerMessage.Usage> usageHeard) {
-        RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, recent, usageHeard);
+        RouterPeers peers = new RouterPeers(vertx, settings, uses, totals, windows, usageHeard);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
                 .connectHandler(socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
                 .listen(settings.peerPort(), settings.peerHost())
@@ -135,15 +144,24 @@
 
     /** Routers there should be, this one included. */
     int known() {
-        return links.size() + 1;
+        long nowMs = MonotonicClock.nowMs();
+        int n = 1;
+        for (Link link : links.values()) {
+            n += isDown(link, nowMs) ? 0 : 1;
+        }
+        return n;
+    }
+
+    private static boolean isDown(Link link, long nowMs) {
+        return link.connection == null && nowMs - link.refusedAtMs < REFUSED_MS;
     }
 
     /** The part of the routers there should be that are heard, this one counted in both. */
     double heardPart() {
         long nowMs = MonotonicClock.nowMs();
         int n = 1;
-        for (String id : links.keySet()) {
-            n += isHeard(heard.get(id), nowMs) ? 1 : 0;
+        for (Map.Entry<String, Link> e : links.entrySet()) {
+            n += !isDown(e.getValue(), nowMs) && isHeard(heard.get(e.getKey()), nowMs) ? 1 : 0;
         }
         return (double) n / known();
     }
@@ -177,7 +195,7 @@
         });
         usageHeard.accept(
                 usage.routerId(),
-                new PeerMessage.Usage(usage.routerId(), usage.life(), true, h.uses, usage.totals(), usage.recent()));
+                new PeerMessage.Usage(usage.routerId(), usage.life(), true, h.uses, usage.totals(), usage.windows()));
     }
 
     private void beat() {
@@ -226,7 +244,7 @@
 
     private void dropVanished(long nowMs) {
         vanishedAtMs.entrySet().removeIf(e -> {
-            boolean drop = nowMs - e.getValue() > KEEP_VANISHED_MS;
+            boolean drop = nowMs - e.getValue() > (settings.keyProofMs() > 0 ? 0 : KEEP_VANISHED_MS);
             if (drop) {
                 LOG.infof("router left router=%s", e.getKey());
                 Link link = links.remove(e.getKey());
@@ -258,6 +276,9 @@
                     });
                 })
                 .onFailure(e -> {
+                    if (e instanceof ConnectException && !(e instanceof ConnectTimeoutException)) {
+                        link.refusedAtMs = MonotonicClock.nowMs();
+                    }
                     LOG.debugf("router not reached router=%s error=%s", routerId, e.getMessage());
                     vertx.setTimer(DIAL_AGAIN_MS, t -> link.dialling = false);
                 });
@@ -279,7 +300,7 @@
                 link.whole,
                 changedUses,
                 changedTotals,
-                link.whole ? recent.get() : Map.of()));
+                link.whole ? windows.get() : Map.of()));
         if (sent) {
             link.sentUses = usesNow;
             link.sentTotals = totalsNow;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -3,10 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
+import java.util.function.Function;
 
 import org.onyxhinge.core.limit.SharedQuota;
 import org.onyxhinge.core.route.WorkspaceAccess;
+import org.onyxhinge.wire.peer.PeerMessage;
 
 /** The quota of each limited workspace, as the configuration in force sets it. */
 final class WorkspaceQuotas {
@@ -16,16 +18,14 @@
     private final long windowMs;
     private final long startedAtMs;
     private double heardPart = 1;
-    private int routers = 1;
 
     WorkspaceQuotas(long windowMs, long nowMs) {
         this.windowMs = windowMs;
         this.startedAtMs = nowMs;
     }
 
-    /** Sets how many routers there should be and the part of them that is heard. */
-    void routers(int known, double part) {
-        routers = known;
+    /** Sets the part of the routers there should be that is heard. */
+    void heardPart(double part) {
         heardPart = part;
     }
 
@@ -44,11 +44,10 @@
                 : Optional.of(quota.waitMs(units, rank, heardPart, nowMs));
     }
 
-    /** What this router used before a restart is unknown for the first window of its life. */
+    /** What was used before a restart is unknown for the first window of a router's life. */
     private SharedQuota create(WorkspaceAccess workspace, long nowMs) {
-        double unknown = Math.max(0, 1.0 - (double) (nowMs - startedAtMs) / windowMs);
-        return SharedQuota.create(
-                workspace.quotaPerSecond(), workspace.quotaBurst(), windowMs, unknown / routers, nowMs);
+        boolean known = nowMs - startedAtMs >= windowMs;
+        return SharedQuota.create(workspace.quotaPerSecond(), workspace.quotaBurst(), windowMs, known, nowMs);
     }
 
     /** Gives back what a call took that never ran. */
@@ -66,21 +65,16 @@
         return out;
     }
 
-    /** What has been let through in the window, by workspace. */
-    Map<String, Long> recent(long nowMs) {
+    /** What all routers let through in the window, by workspace, as far as it is known here. */
+    Map<String, Long> knownWindows(long nowMs) {
         Map<String, Long> out = new HashMap<>();
-        quotas.forEach((name, q) -> out.put(name, q.ownRecent(nowMs)));
+        quotas.forEach((name, q) -> q.knownWindow(nowMs).ifPresent(units -> out.put(name, units)));
         return out;
     }
 
     /** Takes another router's use into account; a workspace not yet asked for here is taken in with it. */
-    void heard(
-            String routerLife,
-            Map<String, Long> totals,
-            Map<String, Long> recent,
-            java.util.function.Function<String, Optional<WorkspaceAccess>> workspaces,
-            long nowMs) {
-        totals.forEach((name, total) -> {
+    void heard(PeerMessage.Usage usage, Function<String, Optional<WorkspaceAccess>> workspaces, long nowMs) {
+        usage.totals().forEach((name, total) -> {
             SharedQuota quota = quotas.get(name);
             if (quota == null) {
                 Optional<WorkspaceAccess> workspace = workspaces.apply(name).filter(WorkspaceAccess::limited);
@@ -90,12 +84,9 @@
                 quota = create(workspace.get(), nowMs);
                 quotas.put(name, quota);
             }
-            quota.heard(routerLife, total, recent.getOrDefault(name, 0L), nowMs);
+            Long window = usage.windows().get(name);
+            OptionalLong known = window == null ? OptionalLong.empty() : OptionalLong.of(window);
+            quota.heard(usage.routerId(), usage.life(), total, known, nowMs);
         });
     }
-
-    /** Forgets routers that are gone. */
-    void keepOnly(Set<String> routerLives) {
-        quotas.values().forEach(q -> q.keepOnly(routerLives));
-    }
 }
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -0,0 +1,102 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Ports;
+import org.onyxhinge.wire.peer.PeerMessage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Routers on loopback that tell each other what they use. */
+class RouterPeersTest {
+
+    private static final long TIMEOUT_MS = 10_000;
+
+    private final Vertx vertx = Vertx.vertx();
+
+    private final class Router {
+        private final int port = Ports.free();
+        private final String id;
+        private final Map<String, TargetUse> uses = new ConcurrentHashMap<>();
+        private final Map<String, Long> totals = new ConcurrentHashMap<>();
+        private final Map<String, PeerMessage.Usage> heard = new ConcurrentHashMap<>();
+        private final Vertx own = Vertx.vertx();
+        private final RouterPeers peers;
+
+        Router(String id) {
+            this.id = id;
+            ForwardingSettings settings = new ForwardingSettings(
+                    id, "here", "127.0.0.1", 0, "127.0.0.1", port, 0.1, 1, 1_000, 5_000, 8_000, 1_000);
+            this.peers = Launch.await(
+                    RouterPeers.start(
+                            own,
+                            settings,
+                            () -> Map.copyOf(uses),
+                            () -> Map.copyOf(totals),
+                            () -> Map.of("w", 7L),
+                            heard::put),
+                    TIMEOUT_MS);
+        }
+
+        void knows(Router other) {
+            own.runOnContext(v -> peers.registered(other.id, "127.0.0.1:" + other.port));
+        }
+
+        void stop() {
+            Launch.await(own.close(), TIMEOUT_MS);
+        }
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (!condition.getAsBoolean()) {
+            assertThat("in time", System.nanoTime() < endNs, is(true));
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void close() {
+        Launch.await(vertx.close(), TIMEOUT_MS);
+    }
+
+    @Test
+    void changesArriveAndWhatEndsIsCleared() {
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.knows(b);
+        b.knows(a);
+        a.uses.put("t1", new TargetUse(2, 500));
+        a.totals.put("w", 70L);
+        await(() -> b.heard.containsKey("a") && b.heard.get("a").uses().containsKey("t1"));
+        a.uses.put("t2", new TargetUse(1, 0));
+        a.uses.remove("t1");
+        await(() -> b.heard.get("a").uses().equals(Map.of("t2", new TargetUse(1, 0))));
+        assertThat(a.peers.known(), is(2));
+        await(() -> a.peers.heardPart() == 1.0);
+        a.stop();
+        b.stop();
+    }
+
+    @Test
+    void aRouterWhoseProcessEndedIsNotTakenForOneThatIsUnheard() {
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.knows(b);
+        b.knows(a);
+        await(() -> a.peers.heardPart() == 1.0 && a.heard.containsKey("b"));
+        b.stop();
+        await(() -> a.peers.known() == 1);
+        assertThat(a.peers.heardPart(), is(1.0));
+        a.stop();
+    }
+}
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -89,7 +89,7 @@
             p.packLong(e.getValue().prefillTokens());
         }
         writeUnits(p, u.totals());
-        writeUnits(p, u.recent());
+        writeUnits(p, u.windows());
     }
 
     private static void writeUnits(MessagePacker p, Map<String, Long> units) throws IOException {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -122,7 +122,8 @@
      * @param whole false when only changes are listed
      * @param uses calls on targets, by target; one without calls clears the entry
      * @param totals units let through since its start, by workspace
-     * @param recent units let through in the quota window, by workspace; only in a whole one
+     * @param windows units that it knows all routers let through in the quota window, by workspace; only
+     *     in a whole one
      */
     record Usage(
             String routerId,
@@ -130,14 +131,14 @@
             boolean whole,
             Map<String, TargetUse> uses,
             Map<String, Long> totals,
-            Map<String, Long> recent)
+            Map<String, Long> windows)
             implements BetweenRouters {
 
         /** Copies the maps. */
         public Usage {
             uses = Map.copyOf(uses);
             totals = Map.copyOf(totals);
-            recent = Map.copyOf(recent);
+            windows = Map.copyOf(windows);
         }
     }
 }
