Forwarder and Exchange split by concern: head check, call plan, stream progress, planned stop

Change: CallCheck (what a version of the configuration says of a head), CallPlan (what is settled for a request), StreamProgress (how far a stream has come over its targets) and PlannedStop are types of their own; the spread of Retry-After is the caller side's. Behaviour stays; the whole-path, peer and splitter tests are unchanged and green.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AnswerLengths.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AnswerLengths.java
@@ -15,11 +15,11 @@
 
     private final Map<String, Double> eventsByRoute = new HashMap<>();
 
-    long expectedEvents(Route route, CallHead head) {
+    long expectedEvents(Route route) {
         return Math.round(eventsByRoute.getOrDefault(route.name(), FIRST_EVENTS));
     }
 
-    void ended(Route route, CallHead head, int events) {
+    void ended(Route route, int events) {
         eventsByRoute.merge(route.name(), (double) events, (old, now) -> old + WEIGHT * (now - old));
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -1,10 +1,6 @@
 package org.onyxhinge.router.forward;
 
-import java.util.Optional;
-
 import org.jboss.logging.Logger;
-import org.onyxhinge.core.route.ForwardingConfig;
-import org.onyxhinge.core.route.Route;
 import org.onyxhinge.core.route.WorkspaceAccess;
 
 /** What is logged and counted of one call when it ends: one line, by its id. */
@@ -17,7 +13,6 @@
     long sentAfterMs = -1;
     long firstByteMs = -1;
     int sends;
-    int events;
     private final StringBuilder troubles = new StringBuilder();
 
     /** Notes trouble with a target, for the line. */
@@ -28,15 +23,13 @@
         troubles.append(targetId).append(": ").append(what);
     }
 
-    void finish(
-            Forwarder forwarder,
-            Route route,
-            Optional<WorkspaceAccess> workspace,
-            ForwardingConfig config,
-            long tookMs,
-            String outcome,
-            String why) {
-        String routeName = route == null ? "none" : route.name();
+    /**
+     * Logs and counts the call.
+     *
+     * @param plan what was settled for it; null when its head was not allowed
+     */
+    void finish(Forwarder forwarder, CallPlan plan, long tookMs, String outcome, String why) {
+        String routeName = plan == null ? "none" : plan.route().name();
         forwarder.metrics().ended(routeName, outcome);
         if (firstByteMs >= 0) {
             forwarder.metrics().firstByteMs(routeName, firstByteMs);
@@ -49,13 +42,13 @@
                 outcome,
                 why,
                 routeName,
-                workspace.map(WorkspaceAccess::name).orElse(""),
+                plan == null ? "" : plan.workspace().map(WorkspaceAccess::name).orElse(""),
                 target,
                 sends,
                 sentAfterMs,
                 firstByteMs,
                 tookMs,
-                config == null ? -1 : config.version(),
+                plan == null ? -1 : plan.config().version(),
                 forwarder.freshness().ageMs(),
                 troubles);
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.buffer.Buffer;
@@ -13,6 +14,10 @@
 /** The caller's end of a call: writes exactly one answer, whole or recognisably broken off. */
 final class CallerSide {
 
+    private static final double MS_PER_SECOND = 1_000;
+    /** Refused callers are spread over this part of the time they are told, so that they don't meet again. */
+    private static final double RETRY_SPREAD = 0.5;
+
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final BooleanSupplier draining;
@@ -87,14 +92,16 @@
         });
     }
 
-    /** Answers a call that has not run, with when to come back in seconds (RFC 9110, section 10.2.3). */
-    void refuse(int status, String why, double retryAfterSeconds) {
+    /** Answers a call that has not run, with when to come back, in seconds (RFC 9110, section 10.2.3). */
+    void refuse(int status, String why, long retryAfterMs) {
         if (response.ended() || response.headWritten()) {
             return;
         }
         response.setStatusCode(status);
-        if (retryAfterSeconds > 0) {
-            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+        if (retryAfterMs > 0) {
+            double spread = 1 + ThreadLocalRandom.current().nextDouble() * RETRY_SPREAD;
+            double seconds = retryAfterMs * spread / MS_PER_SECOND;
+            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
         }
         closeWhenDraining();
         response.end("not run: " + why + "\n");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -2,10 +2,9 @@
 
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -15,7 +14,6 @@
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.core.route.ForwardingConfig;
-import org.onyxhinge.core.route.Route;
 import org.onyxhinge.core.route.WorkspaceAccess;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -26,51 +24,28 @@
  */
 final class Exchange implements Attempt.Owner {
 
-    private static final long MS_PER_SECOND = 1_000;
-    /** A caller who sends less than this part of its route's timeout as its deadline has come back. */
-    private static final double FIRST_TRY_DEADLINE_PART = 0.97;
-
-    /** Workspaces' ranks go before routes' ranks, which are below this. */
-    private static final int RANKS_OF_ROUTES = 1_000;
-
-    /**
-     * A call may wait this much beyond its target latency: a late answer is still of use, but a stream's
-     * caller leaves after a gap of 2 s, 4 latencies or 8 pauses.
-     */
-    private static final long LATE_HOLD_MS = 600;
-
     /**
      * For refusals that concern this router alone: a caller who comes back meets another one, so the best time
      * is at once; a little later lets a balancer that has just lost this one take notice.
      */
     private static final long ELSEWHERE_RETRY_MS = 40;
 
-    /** Below this, a further target could not answer in time. */
-    private static final long LEAST_TIME_FOR_RETRY_MS = 30;
-
     private final Forwarder forwarder;
     private final HttpServerRequest request;
     private final CallerSide caller;
     private final long arrivedAtMs = MonotonicClock.nowMs();
     private final Set<String> tried = new HashSet<>();
     private final CallRecord record = new CallRecord();
-    private CallHead head;
-    private ForwardingConfig config;
-    private Route route;
-    private Optional<WorkspaceAccess> workspace = Optional.empty();
-    private String service;
+    private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private long unitsTaken;
-    private long endsAtMs;
     private int sends;
     private boolean ran;
     private boolean over;
     private Call waiting;
     private Attempt attempt;
     private long timerId = -1;
-    private EventSplitter events = new EventSplitter();
-    private Optional<String> resumeAfter = Optional.empty();
-    private long lastEventAtMs;
+    private final StreamProgress stream = new StreamProgress();
     private KeptAnswer kept;
 
     /** An answer that a target gave and that is passed on if a further try gives none. */
@@ -79,7 +54,7 @@
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
         this.request = request;
-        this.caller = new CallerSide(request, forwarder::draining);
+        this.caller = new CallerSide(request, forwarder.stop()::underWay);
     }
 
     /** Takes a request in. */
@@ -97,34 +72,27 @@
         if (over) {
             return;
         }
-        if (forwarder.leaving()) {
+        if (forwarder.stop().leaving()) {
             refuse("leaving", ELSEWHERE_RETRY_MS);
             return;
         }
-        config = forwarder.config();
+        ForwardingConfig config = forwarder.config();
         if (config == null) {
             forwarder.holdEarly(this);
             return;
         }
-        var read = forwarder.protocol().readCall(request);
-        if (read.isLeft()) {
-            fail(400, "malformed", read.getLeft());
-            return;
-        }
-        head = read.get();
-        record.requestId = head.requestId();
-        Optional<Route> match = config.match(hostOf(request), request.path() == null ? "" : request.path());
-        if (match.isEmpty()) {
-            fail(404, "no_route", "no route for this host and path");
-            return;
-        }
-        route = match.get();
-        if (!route.keyless() && !authorised()) {
-            return;
+        CallCheck result = CallCheck.of(request, forwarder.protocol(), config, forwarder.freshness());
+        record.requestId = result.head() == null ? "" : result.head().requestId();
+        switch (result) {
+            case CallCheck.Allowed a -> allowed(a);
+            case CallCheck.Wrong w -> fail(w.status(), w.outcome(), w.message());
+            case CallCheck.NotHere n -> refuse(n.why(), ELSEWHERE_RETRY_MS);
         }
-        service = route.pick(ThreadLocalRandom.current().nextDouble());
-        endsAtMs = arrivedAtMs + Math.min(head.deadlineMs(), route.timeoutMs());
-        timerId = forwarder.vertx().setTimer(Math.max(1, endsAtMs - arrivedAtMs), t -> timeIsUp());
+    }
+
+    private void allowed(CallCheck.Allowed check) {
+        plan = CallPlan.of(check, arrivedAtMs);
+        timerId = forwarder.vertx().setTimer(Math.max(1, plan.leftMs()), t -> timeIsUp());
         readBody();
     }
 
@@ -133,26 +101,8 @@
         refuse("no_config", ELSEWHERE_RETRY_MS);
     }
 
-    private boolean authorised() {
-        workspace = head.apiKey().flatMap(config::workspaceOfKey);
-        if (!forwarder.freshness().holds()) {
-            refuse("no_fresh_proof", ELSEWHERE_RETRY_MS);
-            return false;
-        }
-        if (workspace.isEmpty()) {
-            fail(401, "unknown_key", "unknown API key");
-            return false;
-        }
-        return true;
-    }
-
-    private static String hostOf(HttpServerRequest request) {
-        String host = request.getHeader("Host");
-        return host == null ? "" : host;
-    }
-
     private void readBody() {
-        int most = config.limits().maxBodyBytes();
+        int most = plan.config().limits().maxBodyBytes();
         request.handler(b -> {
             if (body.length() + b.length() > most) {
                 fail(413, "body_too_large", "body above " + most + " bytes");
@@ -170,40 +120,26 @@
 
     private void admit() {
         long nowMs = MonotonicClock.nowMs();
-        if (workspace.isPresent()) {
-            long units = workspace.get().units(head.tokens());
-            Optional<Long> wait = forwarder.quotas().take(workspace.get(), units, route.priority(), nowMs);
+        if (plan.workspace().isPresent()) {
+            WorkspaceAccess workspace = plan.workspace().get();
+            long units = workspace.units(plan.head().tokens());
+            Optional<Long> wait =
+                    forwarder.quotas().take(workspace, units, plan.route().priority(), nowMs);
             if (wait.isPresent()) {
                 answerRefused(429, "quota", wait.get());
                 return;
             }
             unitsTaken = units;
         }
-        forwarder.retries().requested(service, nowMs);
-        resumeAfter = head.lastEventId();
+        forwarder.retries().requested(plan.service(), nowMs);
+        stream.resumeAfter(plan.head().lastEventId());
         place();
     }
 
     private void place() {
-        long nowMs = MonotonicClock.nowMs();
-        long onTimeUntilMs = arrivedAtMs + route.targetLatencyMs();
-        long holdUntilMs = Math.min(onTimeUntilMs + LATE_HOLD_MS, endsAtMs - LEAST_TIME_FOR_RETRY_MS);
-        boolean returned = head.deadlineMs() < route.timeoutMs() * FIRST_TRY_DEADLINE_PART;
-        boolean model = config.service(service).map(s -> s.modelEngine()).orElse(false);
-        Call call = Call.of(service, arrivedAtMs)
-                .rank(rank(), returned)
-                .times(onTimeUntilMs, Math.max(holdUntilMs, caller.headSent() ? endsAtMs : 0))
-                .work(
-                        model ? head.promptTokens() : 0,
-                        model ? forwarder.lengths().expectedEvents(route, head) : 0)
-                .avoid(tried)
-                .build();
-        verdict(forwarder.placement().submit(call, nowMs));
-    }
-
-    private int rank() {
-        OptionalInt own = workspace.map(WorkspaceAccess::priority).orElse(OptionalInt.empty());
-        return own.orElse(0) * RANKS_OF_ROUTES + route.priority();
+        long events = forwarder.lengths().expectedEvents(plan.route());
+        Call call = plan.call(tried, caller.headSent(), events);
+        verdict(forwarder.placement().submit(call, MonotonicClock.nowMs()));
     }
 
     /** Carries out what the placement decided for this request's call. */
@@ -218,7 +154,7 @@
                 forwarder.waiting().remove(s.call());
                 record.sentAfterMs = MonotonicClock.nowMs() - arrivedAtMs;
                 attempt = Attempt.start(forwarder, this, s.call(), s.target());
-                attempt.run(forwarder.mostConnections(config, service));
+                attempt.run(forwarder.mostConnections(plan.config(), plan.service()));
             }
             case Verdict.Refuse r -> {
                 waiting = null;
@@ -243,29 +179,22 @@
 
     @Override
     public boolean prepare(RequestOptions options, TargetState target) {
-        long leftMs = endsAtMs - MonotonicClock.nowMs();
-        if (over || leftMs <= 0) {
+        if (over || plan.leftMs() <= 0) {
             return false;
         }
         sends++;
         record.sends = sends;
         record.target = target.info().id();
-        options.setMethod(request.method()).setURI(request.uri());
-        forwarder
-                .protocol()
-                .writeCall(
-                        request.headers(),
-                        new OutgoingCall(target.info().id(), leftMs, workspace.map(WorkspaceAccess::name), resumeAfter),
-                        options.getHeaders() == null
-                                ? options.setHeaders(io.vertx.core.MultiMap.caseInsensitiveMultiMap())
-                                        .getHeaders()
-                                : options.getHeaders());
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        options.setMethod(request.method()).setURI(request.uri()).setHeaders(headers);
+        OutgoingCall outgoing = plan.outgoing(target.info().id(), stream.resumeAfter());
+        forwarder.protocol().writeCall(request.headers(), outgoing, headers);
         return true;
     }
 
     @Override
     public boolean repeatable() {
-        return route.repeatable();
+        return plan.route().repeatable();
     }
 
     @Override
@@ -275,7 +204,7 @@
 
     @Override
     public String requestId() {
-        return head.requestId();
+        return plan.head().requestId();
     }
 
     @Override
@@ -286,10 +215,10 @@
             return;
         }
         tried.add(a.target().info().id());
-        if (endsAtMs - MonotonicClock.nowMs() < LEAST_TIME_FOR_RETRY_MS) {
-            noPlace("no_time", 0);
-        } else {
+        if (plan.timeForAnother()) {
             place();
+        } else {
+            noPlace("no_time", 0);
         }
     }
 
@@ -313,7 +242,7 @@
             return;
         }
         ran = true;
-        boolean worthAnotherTry = answer.status() >= 500 && route.kind() == CallKind.IDEMPOTENT;
+        boolean worthAnotherTry = answer.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
         if (worthAnotherTry && kept == null) {
             tried.add(a.target().info().id());
             if (mayRepeat()) {
@@ -333,11 +262,10 @@
 
     @Override
     public boolean streamBegins(Attempt a, AnswerHead answer, HttpClientResponse response) {
-        if (route.kind() != CallKind.STREAM || over) {
+        if (plan.route().kind() != CallKind.STREAM || over) {
             return false;
         }
-        events = new EventSplitter();
-        lastEventAtMs = 0;
+        stream.begins();
         if (!caller.headSent()) {
             caller.beginStream(answer.status(), response);
         }
@@ -346,21 +274,13 @@
 
     @Override
     public void streamBytes(Attempt a, Buffer bytes) {
-        int before = events.events();
-        Optional<Buffer> whole = events.feed(bytes);
+        Optional<Buffer> whole = stream.feed(bytes, a.target());
         if (whole.isEmpty()) {
             return;
         }
-        long nowMs = MonotonicClock.nowMs();
         if (record.firstByteMs < 0) {
-            record.firstByteMs = nowMs - arrivedAtMs;
+            record.firstByteMs = MonotonicClock.nowMs() - arrivedAtMs;
         }
-        if (lastEventAtMs > 0) {
-            a.target().learnGap((double) (nowMs - lastEventAtMs) / (events.events() - before));
-        }
-        lastEventAtMs = nowMs;
-        record.events += events.events() - before;
-        events.lastId().ifPresent(id -> resumeAfter = Optional.of(id));
         if (caller.write(whole.get())) {
             a.pause();
             caller.onDrain(a::resume);
@@ -373,13 +293,13 @@
             return;
         }
         ran = true;
-        if (events.rest().length() > 0) {
+        if (stream.insideAnEvent()) {
             broke(a, "stream ended inside an event");
             return;
         }
-        forwarder.lengths().ended(route, head, record.events);
+        forwarder.lengths().ended(plan.route(), stream.events());
         caller.endStream();
-        end("answered", "events " + record.events);
+        end("answered", "events " + stream.events());
     }
 
     @Override
@@ -391,7 +311,7 @@
             return;
         }
         tried.add(a.target().info().id());
-        if (route.repeatable() && mayRepeat()) {
+        if (plan.route().repeatable() && mayRepeat()) {
             place();
         } else {
             noPlace("target_broke", 0);
@@ -399,10 +319,9 @@
     }
 
     private boolean mayRepeat() {
-        long nowMs = MonotonicClock.nowMs();
-        return sends < route.maxAttempts()
-                && endsAtMs - nowMs >= LEAST_TIME_FOR_RETRY_MS
-                && forwarder.retries().tryRepeat(service, forwarder.routers(), nowMs);
+        return sends < plan.route().maxAttempts()
+                && plan.timeForAnother()
+                && forwarder.retries().tryRepeat(plan.service(), forwarder.routers(), MonotonicClock.nowMs());
     }
 
     private void timeIsUp() {
@@ -444,8 +363,7 @@
     }
 
     private void answerRefused(int status, String why, long retryAfterMs) {
-        double spread = 1 + ThreadLocalRandom.current().nextDouble() * Forwarder.RETRY_SPREAD;
-        caller.refuse(status, why, retryAfterMs * spread / MS_PER_SECOND);
+        caller.refuse(status, why, retryAfterMs);
         end("refused", why);
     }
 
@@ -475,9 +393,9 @@
             forwarder.vertx().cancelTimer(timerId);
         }
         if (sends == 0 && unitsTaken > 0) {
-            workspace.ifPresent(w -> forwarder.quotas().giveBack(w, unitsTaken, MonotonicClock.nowMs()));
+            plan.workspace().ifPresent(w -> forwarder.quotas().giveBack(w, unitsTaken, MonotonicClock.nowMs()));
         }
         forwarder.ended(this, request.connection());
-        record.finish(forwarder, route, workspace, config, MonotonicClock.nowMs() - arrivedAtMs, outcome, why);
+        record.finish(forwarder, plan, MonotonicClock.nowMs() - arrivedAtMs, outcome, why);
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -41,9 +41,6 @@
  */
 public final class Forwarder {
 
-    /** Refused callers are spread over this part of the time they are told, so that they don't meet again. */
-    static final double RETRY_SPREAD = 0.5;
-
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
     private static final long PUMP_MS = 10;
     private static final long SWEEP_MS = 100;
@@ -69,14 +66,13 @@
     private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
     private final List<PeerMessage.Usage> earlyUsages = new ArrayList<>();
+    private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
     private Context context;
     private RouterPeers peers;
     private HttpServer server;
     private boolean pumping;
     private volatile ForwardingConfig config;
-    private volatile boolean draining;
-    private volatile long drainingSinceMs;
 
     private Forwarder(
             Vertx vertx, ForwardingSettings settings, CallProtocol protocol, Freshness freshness, MetricRegistry m) {
@@ -87,6 +83,7 @@
         this.metrics = ForwardingMetrics.create(m);
         this.placement = Placement.create(settings.dataCentre());
         this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
+        this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
         this.quotas = new WorkspaceQuotas(settings.quotaWindowMs(), MonotonicClock.nowMs());
     }
@@ -206,48 +203,21 @@
 
     /** True when callers' calls can be served. */
     public boolean ready() {
-        return config != null && !draining && freshness.holds();
-    }
-
-    boolean draining() {
-        return draining;
+        return config != null && !stop.underWay() && freshness.holds();
     }
 
-    /** True once a planned stop takes no more calls: the balancer has had time to send callers elsewhere. */
-    boolean leaving() {
-        return draining && MonotonicClock.nowMs() - drainingSinceMs > DRAIN_ACCEPT_MS;
+    PlannedStop stop() {
+        return stop;
     }
 
-    /**
-     * Planned stop: new connections are still served until the balancer has taken this router out, every
-     * answer closes its connection, and what is in progress has the grace to finish.
-     */
+    /** Begins a planned stop; completes when the process may end. */
     public Future<Void> drain() {
         Promise<Void> done = Promise.promise();
-        long stopAtMs = MonotonicClock.nowMs();
-        drainingSinceMs = stopAtMs;
-        draining = true;
-        LOG.infof("draining started graceMs=%d", settings.graceMs());
-        context.runOnContext(v -> vertx.setPeriodic(SWEEP_MS, t -> {
-            long tookMs = MonotonicClock.nowMs() - stopAtMs;
-            if (tookMs > DRAIN_ACCEPT_MS) {
-                callers.closeIdle();
-            }
-            boolean idle = exchanges.isEmpty() && callers.openNow() == 0;
-            if (tookMs > DRAIN_ACCEPT_MS && idle || tookMs > settings.graceMs() - DRAIN_MARGIN_MS) {
-                vertx.cancelTimer(t);
-                LOG.infof("draining ended tookMs=%d cutOff=%d", tookMs, exchanges.size());
-                done.complete();
-            }
-        }));
+        stop.ordered();
+        context.runOnContext(v -> stop.begin(vertx, callers, exchanges::size).onComplete(done));
         return done.future();
     }
 
-    /** Balancers look about once a second and take a router out after two misses. */
-    private static final long DRAIN_ACCEPT_MS = 2_500;
-
-    private static final long DRAIN_MARGIN_MS = 500;
-
     /** State for the dump. */
     public Future<JsonObject> dump() {
         Promise<JsonObject> out = Promise.promise();
@@ -255,7 +225,7 @@
                 .put("router", settings.routerId())
                 .put("configVersion", config == null ? -1 : config.version())
                 .put("proofAgeMs", freshness.ageMs())
-                .put("draining", draining)
+                .put("draining", stop.underWay())
                 .put("exchanges", exchanges.size())
                 .put("attempts", attempts.size())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
