--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/room/RoomBroker.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/room/RoomBroker.java
@@ -77,6 +77,7 @@
         for (Map.Entry<Long, Ask> e : List.copyOf(byTurn.entrySet())) {
             if (nowMs >= e.getValue().turnEndsAtMs) {
                 byTurn.remove(e.getKey());
+                e.getValue().forgetAskedRouter();
                 out.addAll(nextTurn(e.getValue(), nowMs));
             }
         }
@@ -101,6 +102,12 @@
     }
 
     private static final class Ask {
+
+        /** A router that is late may have stopped a request; asked again, it would stop a second one. */
+        private void forgetAskedRouter() {
+            turns.removeIf(t -> t.routerId().equals(askedRouter));
+        }
+
         private final String routerId;
         private final long askId;
         private final Deque<RoomStep.AskRouter> turns;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -18,9 +18,8 @@
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
- * One request of a caller, from its head to its one final answer. It is checked against one version of
- * the configuration, waits for a place, is sent to a target, and is sent to another only where that
- * cannot run it twice or its route allows it.
+ * One request of a caller, from its head to its one final answer. It is checked, waits for a place, is sent
+ * to a target, and is sent to another only where that cannot run it twice or its route allows it.
  */
 final class Exchange implements Attempt.Owner {
 
