Leave out what nothing uses; a target connection is a record

Read as a newcomer would: Call.arrivedAtMs, TargetState.gone, Attempt.ageMs and TargetConnection.reused had no reader; one constant stood below its use; the retry budget's bounds never change. Behaviour stays; tests unchanged, green.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RetryBudget.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RetryBudget.java
@@ -16,9 +16,9 @@
 
     private final Map<String, SlidingCount> requests = new HashMap<>();
     private final Map<String, SlidingCount> repeats = new HashMap<>();
-    private double ratio;
-    private double allowance;
-    private long windowMs;
+    private final double ratio;
+    private final double allowance;
+    private final long windowMs;
 
     private RetryBudget(double ratio, double allowance, long windowMs) {
         this.ratio = ratio;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -12,7 +12,6 @@
     private final String service;
     private final int rank;
     private final boolean returned;
-    private final long arrivedAtMs;
     private final long onTimeUntilMs;
     private final long holdUntilMs;
     private final long promptTokens;
@@ -23,7 +22,6 @@
         this.service = b.service;
         this.rank = b.rank;
         this.returned = b.returned;
-        this.arrivedAtMs = b.arrivedAtMs;
         this.onTimeUntilMs = b.onTimeUntilMs;
         this.holdUntilMs = b.holdUntilMs;
         this.promptTokens = b.promptTokens;
@@ -51,11 +49,6 @@
         return returned;
     }
 
-    /** When it arrived. */
-    public long arrivedAtMs() {
-        return arrivedAtMs;
-    }
-
     /** Until when its first byte is on time. */
     public long onTimeUntilMs() {
         return onTimeUntilMs;
@@ -85,7 +78,6 @@
     public static final class Builder {
 
         private final String service;
-        private final long arrivedAtMs;
         private final Set<String> avoid = new HashSet<>();
         private int rank;
         private boolean returned;
@@ -96,7 +88,6 @@
 
         private Builder(String service, long arrivedAtMs) {
             this.service = service;
-            this.arrivedAtMs = arrivedAtMs;
             this.onTimeUntilMs = arrivedAtMs;
             this.holdUntilMs = arrivedAtMs;
         }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -23,6 +23,9 @@
     /** At most this part of a service is set aside, so an ailing service is never left with nothing. */
     private static final double SET_ASIDE_PART = 0.34;
 
+    /** Makes a target that is set aside the last choice, not no choice. */
+    private static final double SET_ASIDE_COST_MS = 1e6;
+
     /**
      * What the path to another data centre costs against the time of an answer, as a part: bytes between
      * data centres are billed, and a slightly slower answer from near by is worth the same.
@@ -85,9 +88,6 @@
         return Optional.ofNullable(best);
     }
 
-    /** Makes a target that is set aside the last choice, not no choice. */
-    private static final double SET_ASIDE_COST_MS = 1e6;
-
     private double cost(Call call, TargetState t) {
         double ms = t.lastByteMs(call);
         boolean near = t.info().dataCentre().equals(dataCentre);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -58,11 +58,6 @@
         return !gone && info.ready();
     }
 
-    /** True once it is no longer registered. */
-    public boolean gone() {
-        return gone;
-    }
-
     void update(Target newer) {
         info = newer;
         gone = false;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -24,7 +24,6 @@
     private final Owner owner;
     private final Call call;
     private final TargetState target;
-    private final long startedAtMs = MonotonicClock.nowMs();
     private final long tokensToRead;
     private TargetConnection connection;
     private HttpClientRequest request;
@@ -297,11 +296,6 @@
         return firstByteSeen;
     }
 
-    /** Time from the start of the try to its first byte or until now. */
-    long ageMs() {
-        return MonotonicClock.nowMs() - startedAtMs;
-    }
-
     /** Time since a byte last came, or since it was sent; 0 before that. */
     long silentMs(long nowMs) {
         return sentAtMs < 0 ? 0 : nowMs - heardAtMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
@@ -83,7 +83,7 @@
                 free.removeIf(c -> c.http() == http);
             }
         });
-        return new TargetConnection(http, targetId);
+        return TargetConnection.inUse(http, targetId);
     }
 
     private void closed(String targetId) {
