--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -83,13 +83,7 @@
 
     void endStream() {
         sendStreamHead();
-        boolean closes = "close".equalsIgnoreCase(response.headers().get("Connection"));
-        response.end().onComplete(v -> {
-            // Its head went out before the stop began, so the caller does not know yet.
-            if (draining.getAsBoolean() && !closes) {
-                request.connection().close();
-            }
-        });
+        response.end();
     }
 
     /** Answers a call that has not run, with when to come back, in seconds (RFC 9110, section 10.2.3). */
