--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -17,6 +17,21 @@
 # The archive holds for exactly these options and this class path, so all runs read them from one file.
 java="target/runtime/bin/java @target/onyxhinge/jvm.opts"
 main=org.onyxhinge.platform.PlatformMain
-$java -Xshare:off -XX:DumpLoadedClassList=target/onyxhinge/classes.lst $main demo --rounds 30
+# The classes are those that one of two routers loads as a process of its own; stand-ins and callers run in another, or
+# their classes would be in the archive too, and each class there costs a start a little (all of them a tenth of it).
+rehearsal=target/onyxhinge/rehearsal
+mkdir -p $rehearsal
+$java $main demo --rounds 30 --routers-apart $rehearsal > $rehearsal/demo.log 2>&1 &
+demo=$!
+while [ ! -s $rehearsal/router-2.json ] && kill -0 $demo; do sleep 0.1; done
+ONYXHINGE_CONFIG=$rehearsal/router-2.json $java $main run > $rehearsal/router-2.log 2>&1 &
+second=$!
+ONYXHINGE_CONFIG=$rehearsal/router-1.json $java -Xshare:off -XX:DumpLoadedClassList=target/onyxhinge/classes.lst \
+  $main run > $rehearsal/router-1.log 2>&1 &
+first=$!
+wait $demo || { cat $rehearsal/*.log >&2; kill $first $second; exit 1; }
+tail -n 1 $rehearsal/demo.log
+kill $first $second
+wait $first $second || true
 $java -Xshare:dump -XX:+AOTClassLinking -XX:SharedClassListFile=target/onyxhinge/classes.lst \
   -XX:SharedArchiveFile=target/onyxhinge/router.jsa > target/onyxhinge/archive.log 2>&1
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -65,19 +65,28 @@
     /**
      * Creates a quota; {@code perSecond} and {@code burst} are over all routers.
      *
-     * @param known whether nothing can have been used that is not known here. After a restart it can: most of
-     *     the limit is then taken as used and falls away evenly over a window, faster than a workspace within
-     *     its limit uses it up, until a router that knows says what was used
+     * @param past what was used before. Where that is unknown, most of the limit is taken as used and falls away evenly
+     *     over a window, faster than a workspace within its limit uses it up, until a router that knows says what was
+     *     used. Where it is recorded, only what may have been used since is taken as used beside it
      */
-    public static SharedQuota create(double perSecond, double burst, long windowMs, boolean known, long nowMs) {
+    public static SharedQuota create(double perSecond, double burst, long windowMs, PastUse past, long nowMs) {
         SharedQuota quota = new SharedQuota(perSecond, burst, windowMs);
-        quota.knownFromMs = known ? nowMs : nowMs + windowMs;
+        quota.knownFromMs = past instanceof PastUse.None ? nowMs : nowMs + windowMs;
         quota.refilledAtMs = nowMs;
-        if (known) {
-            quota.level = quota.capacity();
-        } else {
-            quota.level = quota.capacity() / 2;
-            quota.presumed.spread(nowMs, (long) (quota.limit(1) * PRESUMED_PART));
+        switch (past) {
+            case PastUse.None n -> quota.level = quota.capacity();
+            case PastUse.Unknown u -> {
+                quota.level = quota.capacity() / 2;
+                quota.presumed.spread(nowMs, (long) (quota.limit(1) * PRESUMED_PART));
+            }
+            case PastUse.Recorded r -> {
+                quota.level = quota.capacity() / 2;
+                quota.presumed.spread(nowMs - r.agoMs(), r.units());
+                // What else may have been used since: all that flowed in meanwhile, and a full bucket at the end.
+                long flowed = (long) (quota.limit(1) * r.unseenMs() / windowMs);
+                quota.presumed.spread(nowMs, flowed, r.unseenMs());
+                quota.presumed.add(nowMs, Math.max(0, (long) quota.capacity() - r.toleratedUnits()));
+            }
         }
         return quota;
     }
@@ -172,11 +181,21 @@
         return ownTotal;
     }
 
+    /** What all routers have let through in the window as far as is known here, and what is presumed beside it. */
+    public long usedInWindow(long nowMs) {
+        return used.total(nowMs) + presumed.total(nowMs);
+    }
+
     /** What all routers have let through in the window, if that is known here. */
     public OptionalLong knownWindow(long nowMs) {
         return nowMs >= knownFromMs ? OptionalLong.of(used.total(nowMs)) : OptionalLong.empty();
     }
 
+    /** Notes that a router which has been heard has let nothing through yet. */
+    public void unusedBy(String router, long life) {
+        heard.putIfAbsent(router, new Heard(life, 0));
+    }
+
     /**
      * Takes another router's running total into account.
      *
@@ -191,11 +210,18 @@
             presumed.clear();
             used.clear();
             used.spread(nowMs, window.getAsLong());
+            // The other may not have heard of this yet; it is counted twice rather than not at all.
+            used.add(nowMs, ownTotal);
             knownFromMs = nowMs;
         } else if (before != null) {
             long more = before.life() == life ? total - before.total() : total;
             used.add(nowMs, more);
             level -= more;
+        } else if (nowMs < knownFromMs) {
+            // It has started within this window as well, so all of its total lies beside what is presumed here. Not
+            // counted, each router that comes back would spend the rest once more.
+            used.add(nowMs, total);
+            level -= total;
         }
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SlidingCount.java
@@ -37,9 +37,15 @@
 
     /** Spreads {@code amount} evenly over the window that ends now. */
     public void spread(long nowMs, long amount) {
+        spread(nowMs, amount, sliceMs * SLICES);
+    }
+
+    /** Spreads {@code amount} evenly over the last {@code spanMs}, a window at most. */
+    public void spread(long nowMs, long amount, long spanMs) {
         advance(nowMs);
-        for (int back = 0; back < SLICES; back++) {
-            counts[slot(newestSlice - back)] += amount / SLICES;
+        int slices = (int) Math.max(1, Math.min(SLICES, spanMs / sliceMs));
+        for (int back = 0; back < slices; back++) {
+            counts[slot(newestSlice - back)] += amount / slices;
         }
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -69,7 +69,7 @@
         return outputEvents;
     }
 
-    /** Targets it must not go to again. */
+    /** Incarnations of targets that it must not go to again. */
     public Set<String> avoid() {
         return avoid;
     }
@@ -113,9 +113,9 @@
             return this;
         }
 
-        /** Names targets it must not go to. */
-        public Builder avoid(Set<String> targetIds) {
-            avoid.addAll(targetIds);
+        /** Names incarnations of targets that it must not go to. */
+        public Builder avoid(Set<String> incarnations) {
+            avoid.addAll(incarnations);
             return this;
         }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,10 +47,24 @@
      */
     private static final long ESTIMATE_SLACK = 2;
 
+    /** Enough for all targets of a large site to lapse at once; each takes less than a kilobyte. */
+    private static final int DEPARTED_KEPT = 256;
+
     private final String dataCentre;
     private final PlacementSettings settings;
     private final Map<String, ServiceTargets> services = new HashMap<>();
+    /** Registered targets by incarnation. */
     private final Map<String, TargetState> targets = new HashMap<>();
+    /** Incarnation of each registered target by its id. */
+    private final Map<String, String> incarnations = new HashMap<>();
+    /** Targets that were registered before, by incarnation, the one that left last at the end. */
+    private final Map<String, TargetState> departed = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, TargetState> eldest) {
+            return size() > DEPARTED_KEPT;
+        }
+    };
+
     private final Map<String, WaitingCalls> waiting = new HashMap<>();
     private final Map<String, Rate> drained = new HashMap<>();
     private final Map<String, Map<Integer, Rate>> arrivals = new HashMap<>();
@@ -71,34 +86,54 @@
     /**
      * Creates a placement without targets.
      *
-     * @param placeLeft told when a place is left to a peer: the peer's id and the target's
+     * @param placeLeft told when a place is left to a peer: the peer's id and the target's incarnation
      */
     public static Placement create(
             String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
         return new Placement(dataCentre, settings, placeLeft);
     }
 
-    /** Takes a registry entry in: a new target, or a change of a known one. */
+    /** Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one. */
     public void targetSeen(Target info) {
-        TargetState known = targets.get(info.id());
-        if (known != null) {
+        TargetState known = targets.get(info.incarnation());
+        if (known != null && known.service().name().equals(info.service())) {
             known.update(info);
             return;
         }
+        targetGone(info.id());
+        TargetState state = Optional.ofNullable(departed.remove(info.incarnation()))
+                .filter(d -> d.service().name().equals(info.service()))
+                .orElseGet(() -> newTarget(info));
+        state.update(info);
+        state.service().targets().add(state);
+        targets.put(state.incarnation(), state);
+        incarnations.put(info.id(), state.incarnation());
+        Map<String, TargetUse> uses = new HashMap<>();
+        peerUses.forEach((peer, all) -> {
+            if (all.containsKey(state.incarnation())) {
+                uses.put(peer, all.get(state.incarnation()));
+            }
+        });
+        state.peerUses(uses);
+    }
+
+    private TargetState newTarget(Target info) {
         ServiceTargets service = services.computeIfAbsent(
                 info.service(), s -> new ServiceTargets(s, dataCentre, settings.learnedPace()));
-        TargetState fresh = new TargetState(service, info);
-        service.targets().add(fresh);
-        targets.put(info.id(), fresh);
-        peerUses.forEach((peer, uses) -> fresh.peerUse(peer, uses.get(info.id())));
+        return new TargetState(service, info);
     }
 
-    /** Takes out a target that is no longer registered; calls that run there go on. */
+    /**
+     * Takes out a target that is no longer registered; calls that run there go on. What is known of it is kept for
+     * when it is back: a registration can lapse, or be overwritten by mistake, while its target runs.
+     */
     public void targetGone(String id) {
-        TargetState known = targets.remove(id);
+        TargetState known = targets.remove(incarnations.getOrDefault(id, id));
+        incarnations.remove(id);
         if (known != null) {
             known.markGone();
             known.service().targets().remove(known);
+            departed.put(known.incarnation(), known);
         }
     }
 
@@ -107,9 +142,9 @@
         return targets.values();
     }
 
-    /** A target by id. */
-    public Optional<TargetState> target(String id) {
-        return Optional.ofNullable(targets.get(id));
+    /** A registered target by its incarnation. */
+    public Optional<TargetState> target(String incarnation) {
+        return Optional.ofNullable(targets.get(incarnation));
     }
 
     /** Takes in what a peer has running, in place of what it said before; empty once it is gone. */
@@ -136,8 +171,8 @@
     }
 
     /** Notes that a peer leaves a place at a target to this router's more urgent calls. */
-    public void placeOffered(String targetId, long nowMs) {
-        target(targetId).ifPresent(t -> t.leftToUs(nowMs + PLACE_LEFT_MS));
+    public void placeOffered(String incarnation, long nowMs) {
+        target(incarnation).ifPresent(t -> t.leftToUs(nowMs + PLACE_LEFT_MS));
     }
 
     /** Calls that wait here, by service and rank, for the peers. */
@@ -231,7 +266,7 @@
         }
         need.placeLeft(nowMs + PLACE_LEFT_MS);
         target.leaveToPeer(nowMs + PLACE_LEFT_MS);
-        placeLeft.accept(neediest, target.info().id());
+        placeLeft.accept(neediest, target.incarnation());
         return true;
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -80,7 +80,7 @@
         double meanFailures = meanFailureRate();
         int mayBeSetAside = (int) (targets.size() * SET_ASIDE_PART);
         for (TargetState t : targets) {
-            if (!t.hasRoom(nowMs) || call.avoid().contains(t.info().id())) {
+            if (!t.hasRoom(nowMs) || call.avoid().contains(t.incarnation())) {
                 continue;
             }
             double cost = cost(call, t);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,6 +16,7 @@
     private static final double FULL_BATCH_COST = 0.3;
 
     private final ServiceTargets service;
+    private final String incarnation;
     private final TargetHealth health = new TargetHealth();
     private final Map<String, TargetUse> peers = new HashMap<>();
     private final Pace gapMs;
@@ -32,6 +34,7 @@
     TargetState(ServiceTargets service, Target info) {
         this.service = service;
         this.info = info;
+        this.incarnation = info.incarnation();
         this.gapMs = service.gapMs().child();
         this.prefillMs = service.prefillMs().child();
         this.plainMs = service.plainMs().child();
@@ -42,6 +45,11 @@
         return info;
     }
 
+    /** Which start of the target this is; what was learned holds for this one alone. */
+    public String incarnation() {
+        return incarnation;
+    }
+
     /** This router's calls there now. */
     public int ownCalls() {
         return ownCalls;
@@ -93,6 +101,12 @@
         gone = true;
     }
 
+    /** Takes what peers say now in place of all they said before. */
+    void peerUses(Map<String, TargetUse> byPeer) {
+        List.copyOf(peers.keySet()).forEach(peer -> peerUse(peer, null));
+        byPeer.forEach(this::peerUse);
+    }
+
     /** Notes what a peer has there; an absent use clears it. */
     void peerUse(String peer, TargetUse use) {
         TargetUse before = use == null ? peers.remove(peer) : peers.put(peer, use);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetUse.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetUse.java
@@ -6,4 +6,16 @@
  * @param calls its calls there
  * @param prefillTokens prompt tokens of those that have not had their first event
  */
-public record TargetUse(int calls, long prefillTokens) {}
+public record TargetUse(int calls, long prefillTokens) {
+
+    /** Written out, as that of {@link Target} is: it is asked for in each message between routers. */
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof TargetUse u && calls == u.calls && prefillTokens == u.prefillTokens;
+    }
+
+    @Override
+    public int hashCode() {
+        return calls;
+    }
+}
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/limit/SharedQuotaProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/limit/SharedQuotaProperties.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -30,6 +32,9 @@
     private static final long UNITS = 500;
     private static final long LIMIT = (long) (PER_SECOND * WINDOW_MS / 1_000 + BURST);
     private static final double TOLERANCE = 1.1;
+    /** What a workspace usually asks for: the users set limits at 1.8 times that. */
+    private static final double USUAL_PER_SECOND = PER_SECOND / 1.8;
+
     private static final long STEP_MS = 10;
 
     /** One router: its quota, its running total as last sent, and messages on their way to it. */
@@ -37,6 +42,13 @@
         private SharedQuota quota;
         private int life;
         private final Deque<long[]> inbox = new ArrayDeque<>();
+        private final Set<Long> heardFrom = new HashSet<>();
+
+        void restart() {
+            life++;
+            inbox.clear();
+            heardFrom.clear();
+        }
     }
 
     private record Taken(long atMs, long units) {}
@@ -51,7 +63,7 @@
         List<Router> all = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
             Router r = new Router();
-            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
             all.add(r);
         }
         List<Taken> taken = new ArrayList<>();
@@ -85,7 +97,7 @@
         List<Router> all = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
             Router r = new Router();
-            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
             all.add(r);
         }
         List<Taken> taken = new ArrayList<>();
@@ -100,7 +112,7 @@
             boolean down = nowMs >= 12_000 && nowMs < 13_000;
             if (nowMs == 13_000) {
                 for (Router r : all) {
-                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, nowMs);
+                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), nowMs);
                 }
             }
             // Usual: a workspace asks for 1 / 1.8 of its rate; pressed: several times its rate.
@@ -127,6 +139,137 @@
         }
     }
 
+    /**
+     * A workspace at several times its quota while all routers of a large fleet are killed at once and come back in
+     * waves, as fast and slow VMs do: those of a later wave must not spend again what the earlier ones have spent.
+     */
+    @Property(tries = 30, seed = "414")
+    void routersThatComeBackInWavesStayWithinTheLimit(
+            @ForAll @IntRange(min = 6, max = 21) int routers,
+            @ForAll @IntRange(min = 2, max = 4) int waves,
+            @ForAll @IntRange(min = 6, max = 24) int tellSteps,
+            @ForAll long seed) {
+        long tellMs = tellSteps * STEP_MS;
+        Random random = new Random(seed);
+        List<Router> all = new ArrayList<>();
+        long[] backAtMs = new long[routers];
+        for (int i = 0; i < routers; i++) {
+            Router r = new Router();
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
+            all.add(r);
+            backAtMs[i] = 12_800 + (long) (i % waves) * 700;
+        }
+        List<Taken> taken = new ArrayList<>();
+        for (long nowMs = 0; nowMs < 30_000; nowMs += STEP_MS) {
+            int up = 0;
+            for (int i = 0; i < routers; i++) {
+                up += nowMs < 12_000 || nowMs >= backAtMs[i] ? 1 : 0;
+            }
+            for (int i = 0; i < routers; i++) {
+                Router r = all.get(i);
+                if (nowMs == backAtMs[i]) {
+                    r.restart();
+                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), nowMs);
+                }
+                if (nowMs >= 12_000 && nowMs < backAtMs[i]) {
+                    continue;
+                }
+                deliver(r, nowMs, 20);
+                // A router that is down refuses connections and is not waited for.
+                double heard = nowMs < 12_000 ? 1 : Math.min(1, (1.0 + r.heardFrom.size()) / up);
+                double perStep = 4 * PER_SECOND * STEP_MS / 1_000 / up / UNITS;
+                if (random.nextDouble() < perStep && r.quota.tryTake(UNITS, 0, heard, nowMs)) {
+                    taken.add(new Taken(nowMs, UNITS));
+                }
+                if (nowMs % tellMs == 0 && (nowMs < 12_000 || nowMs >= backAtMs[i] + 100)) {
+                    tellOthers(all, i, nowMs, false);
+                }
+            }
+        }
+        // Four times the rate goes unseen between two messages.
+        long unseen = (long) (4 * PER_SECOND * (tellMs + 20 + STEP_MS) / 1_000);
+        assertThat(most(taken), lessThanOrEqualTo((long) (LIMIT * TOLERANCE) + 10 * UNITS + unseen));
+    }
+
+    /**
+     * All routers are killed and come back within 1.7 s of the last record of what was used. Callers who were cut off
+     * come back with the others, so that a workspace at its usual rate asks for three times that for a second.
+     */
+    @Test
+    void withARecordTheUsualIsServedAtOnceAfterARestartOfAll() {
+        long used = (long) (USUAL_PER_SECOND * WINDOW_MS / 1_000);
+        PastUse recorded = new PastUse.Recorded(used, 1_700, 1_700, LIMIT / 20);
+        double withRecord = 0;
+        double without = 0;
+        int seeds = 40;
+        for (int seed = 1; seed <= seeds; seed++) {
+            withRecord += refusedPart(recorded, 1 + seed % 6, seed) / seeds;
+            without += refusedPart(new PastUse.Unknown(), 1 + seed % 6, seed) / seeds;
+        }
+        assertThat(withRecord, lessThanOrEqualTo(0.03));
+        assertThat(without, greaterThan(3 * withRecord));
+    }
+
+    private static double refusedPart(PastUse past, int routers, long seed) {
+        Random random = new Random(seed);
+        List<Router> all = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            Router r = new Router();
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, past, 0);
+            all.add(r);
+        }
+        int refused = 0;
+        int asked = 0;
+        for (long nowMs = 0; nowMs < 10_000; nowMs += STEP_MS) {
+            double perStep = (nowMs < 1_000 ? 3.0 : 1.0) * USUAL_PER_SECOND * STEP_MS / 1_000 / routers / UNITS;
+            for (int i = 0; i < routers; i++) {
+                Router r = all.get(i);
+                deliver(r, nowMs, 20);
+                double heard = nowMs < 200 ? 1.0 / routers : 1;
+                if (random.nextDouble() < perStep) {
+                    asked++;
+                    refused += r.quota.tryTake(UNITS, 0, heard, nowMs) ? 0 : 1;
+                }
+                if (nowMs % 60 == 0) {
+                    tellOthers(all, i, nowMs, false);
+                }
+            }
+        }
+        return (double) refused / asked;
+    }
+
+    /** A workspace that was quiet sends all it may right after the last record, and goes on after the restart. */
+    @Property(tries = 30, seed = "416")
+    void whatWasUsedAfterTheRecordCannotBeUsedAgain(
+            @ForAll @IntRange(min = 0, max = 100) int usualPercent,
+            @ForAll @IntRange(min = 100, max = 3_000) int ageMs,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        SharedQuota before = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
+        List<Taken> taken = new ArrayList<>();
+        long record = 0;
+        long recordedAtMs = 20_000;
+        for (long nowMs = 0; nowMs < 30_000; nowMs += STEP_MS) {
+            if (nowMs == recordedAtMs) {
+                record = before.usedInWindow(nowMs);
+            }
+            SharedQuota quota = before;
+            if (nowMs == recordedAtMs + ageMs / STEP_MS * STEP_MS) {
+                PastUse past = new PastUse.Recorded(record, ageMs, ageMs, LIMIT / 20);
+                before = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, past, nowMs);
+                quota = before;
+            }
+            double part = nowMs < recordedAtMs ? usualPercent / 100.0 : 4;
+            double perStep = part * PER_SECOND * STEP_MS / 1_000 / UNITS;
+            for (double left = perStep; left > 0; left--) {
+                if (random.nextDouble() < left && quota.tryTake(UNITS, 0, 1, nowMs)) {
+                    taken.add(new Taken(nowMs, UNITS));
+                }
+            }
+        }
+        assertThat(most(taken), lessThanOrEqualTo((long) (LIMIT * TOLERANCE)));
+    }
+
     /** Routers that are stopped and started in turn, at a workspace's usual rate: nothing of it is refused. */
     @Property(tries = 20, seed = "413")
     void restartsInTurnRefuseNothingOfTheUsual(@ForAll @IntRange(min = 2, max = 6) int routers, @ForAll long seed) {
@@ -134,7 +277,7 @@
         List<Router> all = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
             Router r = new Router();
-            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+            r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
             all.add(r);
         }
         double perStep = PER_SECOND / 1.8 * STEP_MS / 1_000 / routers / UNITS;
@@ -145,7 +288,7 @@
                 if (nowMs == 10_000 + i * 1_300L) {
                     r.life++;
                     r.inbox.clear();
-                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, nowMs);
+                    r.quota = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), nowMs);
                 }
                 deliver(r, nowMs, 20);
                 boolean mayTake = nowMs < 10_000 + i * 1_300L || nowMs > 10_200 + i * 1_300L;
@@ -165,6 +308,7 @@
             long[] m = r.inbox.poll();
             OptionalLong window = m[2] < 0 ? OptionalLong.empty() : OptionalLong.of(m[2]);
             r.quota.heard("r" + m[0], m[4], m[1], window, nowMs);
+            r.heardFrom.add(m[0]);
         }
     }
 
@@ -196,7 +340,7 @@
 
     @Test
     void aRestartedRouterBelievesAPeerThatKnowsTheWindow() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), 0);
         q.heard("peer", 1, 1_000_000, OptionalLong.of(LIMIT * 3 / 4), 0);
         long left = 0;
         for (long nowMs = 10; nowMs < 1_000; nowMs += 5) {
@@ -210,7 +354,7 @@
     @Test
     void aRestartedRouterThatHearsNobodyYetServesItsPartOfWhatIsLeft() {
         int routers = 6;
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), 0);
         long taken = 0;
         for (long nowMs = 10; nowMs < 500; nowMs += 10) {
             taken += q.tryTake(UNITS, 0, 1.0 / routers, nowMs) ? UNITS : 0;
@@ -221,14 +365,14 @@
 
     @Test
     void afterARestartTheLessUrgentAreServedAsWell() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, false, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.Unknown(), 0);
         assertThat(q.tryTake(UNITS, 2, 0.25, 10), is(true));
     }
 
     /** A workspace whose limit was lowered below what its most urgent kind alone asks for. */
     @Test
     void noKindIsShutOutOfAWorkspaceAtItsLimit() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
         long first = 0;
         long last = 0;
         for (long nowMs = 10; nowMs < 40_000; nowMs += 10) {
@@ -242,7 +386,7 @@
 
     @Test
     void nearTheLimitTheLessUrgentLeaveRoom() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
         int refused = 0;
         for (long nowMs = 10; nowMs < WINDOW_MS; nowMs += 10) {
             boolean lower = q.tryTake(500, 2, 1, nowMs);
@@ -254,7 +398,7 @@
 
     @Test
     void aLowerLimitBindsAtOnceAndWhatNeverRanIsGivenBack() {
-        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, true, 0);
+        SharedQuota q = SharedQuota.create(PER_SECOND, BURST, WINDOW_MS, new PastUse.None(), 0);
         long bucket = (long) (2 * BURST);
         assertThat(q.tryTake(bucket, 0, 1, 10), is(true));
         assertThat(q.waitMs(500, 0, 1, 10) > 0, is(true));
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/LapsedTargetsTest.java
@@ -0,0 +1,30 @@
+package org.onyxhinge.core.place;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+class LapsedTargetsTest {
+
+    private final LapsedTargets lapsed = LapsedTargets.create();
+
+    @Test
+    void aTargetThatIsStillMissingAfterItsTimeIsGoneOnce() {
+        lapsed.lapsed("a", 1_000);
+        lapsed.lapsed("a", 2_500);
+        assertThat(lapsed.due(2_999), is(empty()));
+        assertThat(lapsed.due(3_000), contains("a"));
+        assertThat(lapsed.due(9_000), is(empty()));
+    }
+
+    @Test
+    void oneThatIsBackStays() {
+        lapsed.lapsed("a", 1_000);
+        lapsed.lapsed("b", 1_000);
+        lapsed.settled("a");
+        assertThat(lapsed.due(5_000), contains("b"));
+    }
+}
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -25,7 +25,7 @@
     private final Placement placement = Placement.create("here");
 
     private Target target(String id, String dataCentre, boolean ready) {
-        return new Target(id, SERVICE, "10.0.0.1", 80, dataCentre, SLOTS, ready, 0);
+        return new Target(id, 0, SERVICE, "10.0.0.1", 80, dataCentre, SLOTS, ready, 0);
     }
 
     private Call call(int rank, long nowMs) {
@@ -124,6 +124,73 @@
         }
     }
 
+    /** A target that starts again under its id holds nothing of before; one whose registration lapsed holds it all. */
+    @Nested
+    class StartsAgain {
+
+        private Target started(long startedAtMs) {
+            return new Target("a", startedAtMs, SERVICE, "10.0.0.1", 80, "here", SLOTS, true, 0);
+        }
+
+        @Test
+        void callsOfTheFormerStartTakeNoPlaceOnTheNewOne() {
+            placement.targetSeen(started(1_000));
+            fill(SLOTS);
+            placement.peerUses("other", Map.of("a@1000", new TargetUse(2, 500)));
+            placement.targetSeen(started(2_000));
+            TargetState fresh = placement.target("a@2000").orElseThrow();
+            assertThat(fresh.calls(), is(0));
+            assertThat(fill(SLOTS), hasSize(SLOTS));
+            assertThat(placement.targets(), hasSize(1));
+        }
+
+        @Test
+        void itsPaceFailuresAndPauseAreForgotten() {
+            placement.targetSeen(started(1_000));
+            TargetState former = placement.target("a@1000").orElseThrow();
+            former.learnGap(5_000);
+            placement.unreachable(former, 10);
+            placement.targetSeen(started(2_000));
+            Verdict.Send sent = sent(placement.submit(call(1, 20), 20));
+            assertThat(sent.target().failureRate(), is(0.0));
+            assertThat(sent.target(), is(not(former)));
+        }
+
+        @Test
+        void aCallOfTheFormerStartThatEndsLateFreesNothingOnTheNewOne() {
+            placement.targetSeen(started(1_000));
+            Verdict.Send before = fill(1).getFirst();
+            placement.targetSeen(started(2_000));
+            fill(SLOTS);
+            placement.ended(before.call(), before.target(), false, 5);
+            assertThat(placement.target("a@2000").orElseThrow().calls(), is(SLOTS));
+        }
+
+        @Test
+        void aTargetThatIsRegisteredAgainStillRunsWhatItRan() {
+            placement.targetSeen(started(1_000));
+            fill(SLOTS);
+            placement.targetGone("a");
+            placement.peerUses("other", Map.of("a@1000", new TargetUse(1, 0)));
+            placement.targetSeen(started(1_000));
+            TargetState back = placement.target("a@1000").orElseThrow();
+            assertThat(back.ownCalls(), is(SLOTS));
+            assertThat(back.calls(), is(SLOTS + 1));
+            placement.peerUses("other", Map.of());
+            assertThat(back.calls(), is(SLOTS));
+        }
+
+        @Test
+        void aPeerThatLeftMeanwhileIsNotCountedWhenItIsBack() {
+            placement.targetSeen(started(1_000));
+            placement.peerUses("other", Map.of("a@1000", new TargetUse(2, 0)));
+            placement.targetGone("a");
+            placement.peerUses("other", Map.of());
+            placement.targetSeen(started(1_000));
+            assertThat(placement.target("a@1000").orElseThrow().calls(), is(0));
+        }
+    }
+
     @Nested
     class Leaving {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -10,6 +10,7 @@
 final class CallRecord {
 
     private static final Logger LOG = Logger.getLogger("call");
+    private static final int PERCENT = 100;
 
     String requestId = "";
     String target = "";
@@ -34,12 +35,12 @@
                 "quota",
                 String.format(
                         Locale.ROOT,
-                        "units=%d used=%d limit=%d level=%d heardPart=%.2f",
+                        "units=%d used=%d limit=%d level=%d heardPercent=%d",
                         exceeded.units(),
                         state.used(),
                         state.limit(),
                         state.level(),
-                        state.heardPart()));
+                        Math.round(state.heardPart() * PERCENT)));
     }
 
     /**
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerSide.java
@@ -1,6 +1,6 @@
 package org.onyxhinge.router.forward;
 
-import java.util.Locale;
+import java.math.BigDecimal;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -20,7 +20,8 @@
      */
     static final long ELSEWHERE_RETRY_MS = 40;
 
-    private static final double MS_PER_SECOND = 1_000;
+    /** Digits of a second's fraction that stand for ms. */
+    private static final int DIGITS_OF_MS = 3;
     /** Refused callers are spread over this part of the time they are told, so that they don't meet again. */
     private static final double RETRY_SPREAD = 0.5;
 
@@ -100,8 +101,9 @@
         response.setStatusCode(status);
         if (retryAfterMs > 0) {
             double spread = 1 + ThreadLocalRandom.current().nextDouble() * RETRY_SPREAD;
-            double seconds = retryAfterMs * spread / MS_PER_SECOND;
-            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
+            // Not by a format: the first one of a process loads the locales' number formats, which takes 35 ms.
+            BigDecimal seconds = BigDecimal.valueOf((long) (retryAfterMs * spread), DIGITS_OF_MS);
+            response.putHeader("Retry-After", seconds.toPlainString());
         }
         closeWhenDraining();
         response.end("not run: " + why + "\n");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -85,7 +85,21 @@
                 .waitedBeforeMs(check.route().name(), check.head().deadlineMs());
         plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
         timerId = forwarder.vertx().setTimer(Math.max(1, plan.leftMs()), t -> timeIsUp());
-        readBody();
+        forwarder.intake().offer(this, plan);
+    }
+
+    /** The router has no processor time for it. */
+    void refuseStarved(long waitMs) {
+        if (!over) {
+            refuse("starved", Math.max(CallerSide.ELSEWHERE_RETRY_MS, waitMs));
+        }
+    }
+
+    /** Begins the work on a request that may go on. */
+    void begin() {
+        if (!over) {
+            readBody();
+        }
     }
 
     /** The first configuration has not come in time. */
@@ -132,18 +146,18 @@
         switch (verdict) {
             case Verdict.Wait w -> {
                 waiting = w.call();
-                forwarder.waiting().put(w.call(), this);
+                forwarder.waits(w.call(), this);
             }
             case Verdict.Send s -> {
                 waiting = null;
-                forwarder.waiting().remove(s.call());
+                forwarder.waitsNoLonger(s.call());
                 record.sentAfterMs = MonotonicClock.nowMs() - arrivedAtMs;
                 attempt = Attempt.start(forwarder, this, s.call(), s.target());
                 attempt.run(forwarder.mostConnections(plan.config(), plan.service()));
             }
             case Verdict.Refuse r -> {
                 waiting = null;
-                forwarder.waiting().remove(r.call());
+                forwarder.waitsNoLonger(r.call());
                 noPlace(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
             }
         }
@@ -199,7 +213,7 @@
         if (over) {
             return;
         }
-        tried.add(a.target().info().id());
+        tried.add(a.target().incarnation());
         if (plan.timeForAnother()) {
             place();
         } else {
@@ -212,7 +226,7 @@
         record.note(a.target().info().id(), "not run, status " + answer.status());
         forwarder.metrics().event("sends.shed");
         if (!over) {
-            tried.add(a.target().info().id());
+            tried.add(a.target().incarnation());
             if (mayRepeat()) {
                 place();
             } else {
@@ -229,7 +243,7 @@
         ran = true;
         boolean worthAnotherTry = answer.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
         if (worthAnotherTry && kept == null) {
-            tried.add(a.target().info().id());
+            tried.add(a.target().incarnation());
             if (mayRepeat()) {
                 kept = new KeptAnswer(answer, response, whole);
                 place();
@@ -295,7 +309,7 @@
         if (over) {
             return;
         }
-        tried.add(a.target().info().id());
+        tried.add(a.target().incarnation());
         if (plan.route().repeatable() && mayRepeat()) {
             place();
         } else {
@@ -344,7 +358,7 @@
     private void stopWork() {
         if (waiting != null) {
             forwarder.placement().withdraw(waiting);
-            forwarder.waiting().remove(waiting);
+            forwarder.waitsNoLonger(waiting);
             waiting = null;
         }
         if (attempt != null) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
@@ -24,6 +25,7 @@
 import org.onyxhinge.core.place.AnswerLengths;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallerDeadlines;
+import org.onyxhinge.core.place.LapsedTargets;
 import org.onyxhinge.core.place.Placement;
 import org.onyxhinge.core.place.PlacementSettings;
 import org.onyxhinge.core.place.Target;
@@ -41,7 +43,9 @@
 public final class Forwarder {
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
+    /** Calls that wait are looked at so often, for their time to be refused; room wakes them sooner. */
     private static final long PUMP_MS = 10;
+
     private static final long SWEEP_MS = 100;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -61,6 +65,7 @@
     private final AnswerLengths lengths = new AnswerLengths();
     private final CallerDeadlines deadlines = CallerDeadlines.create();
     private final TargetConnections connections;
+    private final LapsedTargets lapsed = LapsedTargets.create();
     private final Set<Attempt> attempts = new HashSet<>();
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
@@ -69,9 +74,11 @@
     private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
     private Context context;
+    private Intake intake;
     private RouterPeers peers;
     private HttpServer server;
     private boolean pumping;
+    private boolean pumpTimed;
     private volatile ForwardingConfig config;
 
     private Forwarder(
@@ -85,7 +92,7 @@
         this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
-        this.quotas = new WorkspaceQuotas(settings.quotaWindowMs(), MonotonicClock.nowMs());
+        this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
         this.peersSide = new PeersSide(placement, quotas, metrics, this::usageHeard);
     }
 
@@ -99,6 +106,7 @@
         Forwarder f = new Forwarder(vertx, settings, protocol, freshness, registry);
         Promise<Forwarder> started = Promise.promise();
         f.context = vertx.getOrCreateContext();
+        f.intake = new Intake(vertx, f.context, f.metrics);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
     }
@@ -109,7 +117,11 @@
                 .setMaxInitialLineLength(MAX_HEADER_BYTES)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
                 .setTcpNoDelay(true)
-                .setCompressionSupported(false);
+                .setCompressionSupported(false)
+                // HTTP/1.1 alone is spoken here; each handler more is code that a fresh process first interprets.
+                .setHttp2ClearTextEnabled(false)
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false);
         server = vertx.createHttpServer(options)
                 .connectionHandler(callers::opened)
                 .exceptionHandler(e -> LOG.debugf("caller connection error=%s", e.getMessage()))
@@ -121,7 +133,6 @@
                     return server.listen(settings.port(), settings.host());
                 })
                 .map(s -> {
-                    vertx.setPeriodic(PUMP_MS, t -> pumpIfWaiting());
                     vertx.setPeriodic(SWEEP_MS, t -> sweep());
                     return this;
                 });
@@ -175,6 +186,7 @@
     /** Takes a registry entry of a target in. */
     public void targetSeen(Target target) {
         context.runOnContext(v -> {
+            lapsed.settled(target.id());
             placement.targetSeen(target);
             pumpSoon();
         });
@@ -182,7 +194,15 @@
 
     /** Takes a target out that is no longer registered. */
     public void targetGone(String id) {
-        context.runOnContext(v -> placement.targetGone(id));
+        context.runOnContext(v -> {
+            lapsed.settled(id);
+            placement.targetGone(id);
+        });
+    }
+
+    /** Notes that a target's registration is missing after the registry was away; it may soon be back. */
+    public void targetLapsed(String id) {
+        context.runOnContext(v -> lapsed.lapsed(id, MonotonicClock.nowMs()));
     }
 
     /** Takes a router in that is registered at {@code address}, HOST:PORT. */
@@ -195,6 +215,25 @@
         context.runOnContext(v -> peers.unregistered(routerId));
     }
 
+    /**
+     * What workspaces have used, for the record; empty where another router is to write it, or nothing has changed. A
+     * record is written by the router whose id comes first among those that hear each other.
+     */
+    public Future<Optional<byte[]>> usageToRecord() {
+        Promise<Optional<byte[]>> out = Promise.promise();
+        context.runOnContext(v -> out.complete(Optional.of(quotas.usedInWindow(MonotonicClock.nowMs()))
+                .filter(units -> !units.isEmpty() && peers.comesFirst())
+                .map(units -> new UsageRecord(System.currentTimeMillis(), units).encode())));
+        return out.future();
+    }
+
+    /** Takes the record of workspaces' use in, as it was read from the store. */
+    public void usageRecorded(byte[] bytes) {
+        context.runOnContext(v -> UsageRecord.decode(bytes)
+                .peek(quotas::recorded)
+                .peekLeft(e -> LOG.errorf("usage record unreadable error=%s", e)));
+    }
+
     /** True when callers' calls can be served. */
     public boolean ready() {
         return config != null && !stop.underWay() && freshness.holds();
@@ -227,6 +266,7 @@
                 .put("draining", stop.underWay())
                 .put("exchanges", exchanges.size())
                 .put("attempts", attempts.size())
+                .put("notBegun", intake.waiting())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openNow())
@@ -246,6 +286,24 @@
         peers.leavePlace(routerId, targetId);
     }
 
+    /** Takes a call in that waits for room. A timer runs only while any do: an idle router is not woken for it. */
+    void waits(Call call, Exchange exchange) {
+        waiting.put(call, exchange);
+        if (!pumpTimed) {
+            pumpTimed = true;
+            vertx.setTimer(PUMP_MS, t -> pumpTimer());
+        }
+        peers.callsWait();
+    }
+
+    private void pumpTimer() {
+        pumpIfWaiting();
+        pumpTimed = !waiting.isEmpty();
+        if (pumpTimed) {
+            vertx.setTimer(PUMP_MS, t -> pumpTimer());
+        }
+    }
+
     /** Looks for room for waiting calls once the current event has been handled. */
     void pumpSoon() {
         if (!pumping && !waiting.isEmpty()) {
@@ -278,6 +336,10 @@
             }
         }
         silent.forEach(a -> a.giveUpSilent("silent for " + a.silentMs(nowMs) + " ms"));
+        for (String id : lapsed.due(nowMs)) {
+            LOG.infof("target gone id=%s why=\"not registered again after the registry was away\"", id);
+            placement.targetGone(id);
+        }
         connections.sweep(
                 id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
         quotas.heardPart(peers.heardPart());
@@ -304,6 +366,10 @@
         return config;
     }
 
+    Intake intake() {
+        return intake;
+    }
+
     Vertx vertx() {
         return vertx;
     }
@@ -352,7 +418,8 @@
         return exchanges;
     }
 
-    Map<Call, Exchange> waiting() {
-        return waiting;
+    /** Forgets a call that waits no longer. */
+    void waitsNoLonger(Call call) {
+        waiting.remove(call);
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
@@ -15,6 +15,8 @@
  * @param keyProofMs how long an API key is believed after the store last confirmed the configuration; 0
  *     for no limit
  * @param quotaWindowMs window in which a workspace may use its rate times the window plus its burst
+ * @param quotaToleranceRatio part of that which operators tolerate beyond it
+ * @param quotaToleranceUnits units which they tolerate beside that part
  * @param graceMs time from the order to stop until the process is killed
  */
 public record ForwardingSettings(
@@ -29,4 +31,6 @@
         long retryWindowMs,
         long keyProofMs,
         long quotaWindowMs,
+        double quotaToleranceRatio,
+        long quotaToleranceUnits,
         long graceMs) {}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
@@ -52,7 +52,7 @@
         for (TargetState t : placement.targets()) {
             int calls = t.claimedCalls(nowMs);
             if (calls > 0) {
-                out.put(t.info().id(), new TargetUse(calls, t.ownPrefillTokens()));
+                out.put(t.incarnation(), new TargetUse(calls, t.ownPrefillTokens()));
             }
         }
         return out;
@@ -87,9 +87,9 @@
     }
 
     @Override
-    public void placeOffered(String targetId) {
+    public void placeOffered(String incarnation) {
         metrics.event("places.offered");
-        placement.placeOffered(targetId, MonotonicClock.nowMs());
+        placement.placeOffered(incarnation, MonotonicClock.nowMs());
         changed.run();
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -15,6 +15,7 @@
 import io.vertx.core.net.NetServerOptions;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.runtime.HostPort;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerConnection;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -38,6 +39,14 @@
      */
     private static final long SEND_BUSY_MS = 20;
 
+    /**
+     * Bounds what a router sends to about 80 messages a second, and to 250 while calls wait: what six routers send
+     * each other at the intervals above. Each message costs both ends a system call and a wake-up.
+     */
+    private static final long MS_PER_LINK = 12;
+
+    private static final long BUSY_MS_PER_LINK = 4;
+
     private static final long SIGN_OF_LIFE_MS = 400;
     /** Three signs of life missed, and one on its way. */
     private static final long SILENT_MS = 1_500;
@@ -47,10 +56,16 @@
     private static final long DIAL_AGAIN_MS = 120;
     /**
      * A router whose registration lapsed may still be serving where nothing stops it; its part of the quotas is
-     * kept so long. Where keys must be proved fresh it has stopped before its registration could lapse.
+     * kept so long.
      */
     private static final long KEEP_VANISHED_MS = 10_000;
 
+    /**
+     * Where keys must be proved fresh it has stopped before its registration could lapse, but all registrations may
+     * have lapsed while the store was away: those that live are registered again within two renewals, 1.3 s each.
+     */
+    private static final long REGISTERS_AGAIN_MS = 3_000;
+
     /** For so long after its VM refused a connection, a router's process is known not to run. */
     private static final long REFUSED_MS = 1_500;
 
@@ -63,7 +78,8 @@
     private final Map<String, Link> links = new HashMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
     private final Map<String, Long> vanishedAtMs = new HashMap<>();
-    private long beatAtMs;
+    private long beatDueMs;
+    private long beatTimer = -1;
 
     /** The router on whose behalf they are spoken to. */
     interface Side {
@@ -89,7 +105,7 @@
 
     /** Our sending side towards one router. */
     private static final class Link {
-        private final String address;
+        private final HostPort address;
         private PeerConnection connection;
         private long connectedAtMs;
         private boolean dialling;
@@ -101,7 +117,7 @@
         private Map<String, Long> sentTotals = Map.of();
         private Map<String, Map<Integer, Integer>> sentWaiting = Map.of();
 
-        Link(String address) {
+        Link(HostPort address) {
             this.address = address;
         }
     }
@@ -128,14 +144,21 @@
                 .connectHandler(socket -> PeerConnection.attach(socket, peers.traffic, peers::received, () -> {}))
                 .listen(settings.peerPort(), settings.peerHost())
                 .map(server -> {
-                    vertx.setPeriodic(SEND_BUSY_MS, t -> peers.beat());
+                    peers.scheduleBeat(SEND_MS);
                     return peers;
                 });
     }
 
-    /** Takes in a router that is registered at {@code address}, HOST:PORT. */
-    void registered(String routerId, String address) {
+    /** Takes in a router that is registered at {@code addressText}, HOST:PORT. */
+    void registered(String routerId, String addressText) {
         vanishedAtMs.remove(routerId);
+        HostPort address;
+        try {
+            address = HostPort.parse("address", addressText);
+        } catch (IllegalArgumentException e) {
+            LOG.errorf("router rejected router=%s error=%s", routerId, e.getMessage());
+            return;
+        }
         Link known = links.get(routerId);
         if (routerId.equals(settings.routerId()) || known != null && known.address.equals(address)) {
             return;
@@ -178,6 +201,13 @@
         return (double) n / known();
     }
 
+    /** Whether this router's id comes first among those that hear each other. */
+    boolean comesFirst() {
+        long nowMs = MonotonicClock.nowMs();
+        return heard.entrySet().stream()
+                .noneMatch(e -> isHeard(e.getValue(), nowMs) && e.getKey().compareTo(settings.routerId()) < 0);
+    }
+
     private static boolean isHeard(Heard h, long nowMs) {
         return h != null && nowMs - h.atMs < SILENT_MS;
     }
@@ -227,6 +257,29 @@
                         usage.waiting()));
     }
 
+    /** Notes that a call waits: peers that have room are told of it sooner than usual. */
+    void callsWait() {
+        long inMs = intervalMs(SEND_BUSY_MS, BUSY_MS_PER_LINK);
+        if (beatDueMs - MonotonicClock.nowMs() > inMs) {
+            vertx.cancelTimer(beatTimer);
+            scheduleBeat(inMs);
+        }
+    }
+
+    /** A larger fleet speaks less often: each router's own calls, and so what it has to tell, are fewer there. */
+    private long intervalMs(long leastMs, long msPerLink) {
+        return Math.max(leastMs, links.size() * msPerLink);
+    }
+
+    private void scheduleBeat(long inMs) {
+        beatDueMs = MonotonicClock.nowMs() + inMs;
+        beatTimer = vertx.setTimer(inMs, t -> {
+            boolean busy = !side.waiting().isEmpty();
+            scheduleBeat(busy ? intervalMs(SEND_BUSY_MS, BUSY_MS_PER_LINK) : intervalMs(SEND_MS, MS_PER_LINK));
+            beat();
+        });
+    }
+
     private void beat() {
         long nowMs = MonotonicClock.nowMs();
         forgetSilent(nowMs);
@@ -235,11 +288,6 @@
             return;
         }
         Map<String, Map<Integer, Integer>> waitingNow = side.waiting();
-        boolean busy = !waitingNow.isEmpty();
-        if (!busy && nowMs - beatAtMs < SEND_MS) {
-            return;
-        }
-        beatAtMs = nowMs;
         Map<String, TargetUse> usesNow = side.uses();
         Map<String, Long> totalsNow = side.totals();
         for (Map.Entry<String, Link> e : links.entrySet()) {
@@ -277,9 +325,11 @@
         });
     }
 
+    /** A router that is still heard has not left, whatever the registry says. */
     private void dropVanished(long nowMs) {
+        long keepMs = settings.keyProofMs() > 0 ? REGISTERS_AGAIN_MS : KEEP_VANISHED_MS;
         vanishedAtMs.entrySet().removeIf(e -> {
-            boolean drop = nowMs - e.getValue() > (settings.keyProofMs() > 0 ? 0 : KEEP_VANISHED_MS);
+            boolean drop = nowMs - e.getValue() > keepMs && !isHeard(heard.get(e.getKey()), nowMs);
             if (drop) {
                 LOG.infof("router left router=%s", e.getKey());
                 Link link = links.remove(e.getKey());
@@ -296,8 +346,7 @@
             return;
         }
         link.dialling = true;
-        int colon = link.address.lastIndexOf(':');
-        client.connect(Integer.parseInt(link.address.substring(colon + 1)), link.address.substring(0, colon))
+        client.connect(link.address.port(), link.address.host())
                 .onSuccess(socket -> {
                     link.dialling = false;
                     link.whole = true;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnection.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnection.java
@@ -6,17 +6,17 @@
  * One connection to a target; it carries one call at a time.
  *
  * @param http the connection
- * @param targetId the target
+ * @param incarnation the start of the target that it leads to
  * @param idleUntilMs until when it may be used again; 0 while it is in use
  */
-record TargetConnection(HttpClientConnection http, String targetId, long idleUntilMs) {
+record TargetConnection(HttpClientConnection http, String incarnation, long idleUntilMs) {
 
-    static TargetConnection inUse(HttpClientConnection http, String targetId) {
-        return new TargetConnection(http, targetId, 0);
+    static TargetConnection inUse(HttpClientConnection http, String incarnation) {
+        return new TargetConnection(http, incarnation, 0);
     }
 
     TargetConnection idleUntil(long ms) {
-        return new TargetConnection(http, targetId, ms);
+        return new TargetConnection(http, incarnation, ms);
     }
 
     boolean usable(long nowMs) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
@@ -56,7 +56,8 @@
      * from here already; no byte of a call has been sent then.
      */
     Future<TargetConnection> acquire(Target target, int most) {
-        Deque<TargetConnection> free = idle.get(target.id());
+        String incarnation = target.incarnation();
+        Deque<TargetConnection> free = idle.get(incarnation);
         long nowMs = MonotonicClock.nowMs();
         while (free != null && !free.isEmpty()) {
             TargetConnection c = free.pollFirst();
@@ -65,29 +66,29 @@
             }
             c.http().close();
         }
-        if (open.getOrDefault(target.id(), 0) >= most) {
+        if (open.getOrDefault(incarnation, 0) >= most) {
             return Future.failedFuture("already " + most + " connections to " + target.id());
         }
-        open.merge(target.id(), 1, Integer::sum);
+        open.merge(incarnation, 1, Integer::sum);
         opened++;
         return client.connect(new HttpConnectOptions().setHost(target.host()).setPort(target.port()))
-                .onFailure(e -> closed(target.id()))
-                .map(http -> attach(http, target.id()));
+                .onFailure(e -> closed(incarnation))
+                .map(http -> attach(http, incarnation));
     }
 
-    private TargetConnection attach(HttpClientConnection http, String targetId) {
+    private TargetConnection attach(HttpClientConnection http, String incarnation) {
         http.closeHandler(v -> {
-            closed(targetId);
-            Deque<TargetConnection> free = idle.get(targetId);
+            closed(incarnation);
+            Deque<TargetConnection> free = idle.get(incarnation);
             if (free != null) {
                 free.removeIf(c -> c.http() == http);
             }
         });
-        return TargetConnection.inUse(http, targetId);
+        return TargetConnection.inUse(http, incarnation);
     }
 
-    private void closed(String targetId) {
-        open.computeIfPresent(targetId, (id, n) -> n <= 1 ? null : n - 1);
+    private void closed(String incarnation) {
+        open.computeIfPresent(incarnation, (id, n) -> n <= 1 ? null : n - 1);
     }
 
     /**
@@ -97,7 +98,7 @@
      */
     void release(TargetConnection c, String keepAlive) {
         long idleUntilMs = MonotonicClock.nowMs() + idleMs(keepAlive);
-        idle.computeIfAbsent(c.targetId(), id -> new ArrayDeque<>()).addFirst(c.idleUntil(idleUntilMs));
+        idle.computeIfAbsent(c.incarnation(), id -> new ArrayDeque<>()).addFirst(c.idleUntil(idleUntilMs));
     }
 
     /** How long a connection may be reused for, by the {@code timeout} of RFC 2068, section 19.7.1. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 import java.util.function.Function;
 
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.limit.PastUse;
 import org.onyxhinge.core.limit.QuotaState;
 import org.onyxhinge.core.limit.SharedQuota;
 import org.onyxhinge.core.route.WorkspaceAccess;
@@ -14,14 +16,32 @@
 /** The quota of each limited workspace, as the configuration in force sets it. */
 final class WorkspaceQuotas {
 
+    private static final Logger LOG = Logger.getLogger(WorkspaceQuotas.class);
+
+    /** VMs' clocks differ by less; a record from further in the future is of a clock that has jumped. */
+    private static final long MOST_CLOCK_ERROR_MS = 500;
+
+    /** Half of what operators tolerate covers what routers do not see of each other at any time; this is the rest. */
+    private static final double TOLERANCE_PART = 0.5;
+
+    private static final double MS_PER_SECOND = 1_000;
+
     private final Map<String, SharedQuota> quotas = new HashMap<>();
     private final Map<String, WorkspaceAccess> limits = new HashMap<>();
+    /** Which of its starts each router that was heard is in. */
+    private final Map<String, Long> lives = new HashMap<>();
+
+    private final ForwardingSettings settings;
     private final long windowMs;
     private final long startedAtMs;
+    private final long startedAtEpochMs = System.currentTimeMillis();
     private double heardPart = 1;
+    private Optional<UsageRecord> record = Optional.empty();
+    private long recordAgeMs;
 
-    WorkspaceQuotas(long windowMs, long nowMs) {
-        this.windowMs = windowMs;
+    WorkspaceQuotas(ForwardingSettings settings, long nowMs) {
+        this.settings = settings;
+        this.windowMs = settings.quotaWindowMs();
         this.startedAtMs = nowMs;
     }
 
@@ -61,10 +81,48 @@
                         units, quota.waitMs(units, rank, heardPart, nowMs), quota.state(heardPart, nowMs)));
     }
 
-    /** What was used before a restart is unknown for the first window of a router's life. */
     private SharedQuota create(WorkspaceAccess workspace, long nowMs) {
-        boolean known = nowMs - startedAtMs >= windowMs;
-        return SharedQuota.create(workspace.quotaPerSecond(), workspace.quotaBurst(), windowMs, known, nowMs);
+        SharedQuota quota = SharedQuota.create(
+                workspace.quotaPerSecond(), workspace.quotaBurst(), windowMs, pastUse(workspace, nowMs), nowMs);
+        // Those that were heard would have said so, had they let anything through.
+        lives.forEach(quota::unusedBy);
+        return quota;
+    }
+
+    /** What was used before a restart is unknown for the first window of a router's life, but for what is on record. */
+    private PastUse pastUse(WorkspaceAccess workspace, long nowMs) {
+        if (nowMs - startedAtMs >= windowMs) {
+            return new PastUse.None();
+        }
+        return record.<PastUse>map(r -> new PastUse.Recorded(
+                        r.units(workspace.name()), nowMs - startedAtMs + recordAgeMs, recordAgeMs, (long)
+                                (TOLERANCE_PART * tolerance(workspace))))
+                .orElseGet(PastUse.Unknown::new);
+    }
+
+    private double tolerance(WorkspaceAccess workspace) {
+        double limit = workspace.quotaPerSecond() * windowMs / MS_PER_SECOND + workspace.quotaBurst();
+        return limit * settings.quotaToleranceRatio() + settings.quotaToleranceUnits();
+    }
+
+    /** Takes in what was on record when this router started; later records say no more than the peers do. */
+    void recorded(UsageRecord used) {
+        long ageMs = startedAtEpochMs - used.asOfMs();
+        boolean plausible = ageMs >= -MOST_CLOCK_ERROR_MS && ageMs < windowMs;
+        if (record.isEmpty() && quotas.isEmpty() && plausible) {
+            record = Optional.of(used);
+            recordAgeMs = Math.max(0, ageMs);
+            LOG.infof(
+                    "usage record read ageMs=%d workspaces=%d",
+                    ageMs, used.unitsByWorkspace().size());
+        }
+    }
+
+    /** What all routers have used in the window, for the record. */
+    Map<String, Long> usedInWindow(long nowMs) {
+        Map<String, Long> out = new HashMap<>();
+        quotas.forEach((name, q) -> out.put(name, q.usedInWindow(nowMs)));
+        return out;
     }
 
     /** Gives back what a call took that never ran. */
@@ -107,5 +165,6 @@
             OptionalLong known = window == null ? OptionalLong.empty() : OptionalLong.of(window);
             quota.heard(usage.routerId(), usage.life(), total, known, nowMs);
         });
+        lives.put(usage.routerId(), usage.life());
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
@@ -107,6 +107,8 @@
                 file.number("retries", "window_ms", 10_000, 100, MAX_MS),
                 0,
                 file.number("router", "quota_window_ms", 8_000, 100, MAX_MS),
+                file.number("router", "quota_tolerance_percent", 0, 0, 100) / PERCENT,
+                file.number("router", "quota_tolerance_units", 0, 0, MAX_UNITS),
                 file.number("router", "drain_timeout_ms", 30_000, 1_000, MAX_MS));
     }
 
@@ -193,6 +195,7 @@
         HostPort at = address(section, "address", null);
         return new Target(
                 name,
+                0,
                 file.text(section, "service"),
                 at.host(),
                 at.port(),
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -38,7 +38,7 @@
         Router(String id) {
             this.id = id;
             ForwardingSettings settings = new ForwardingSettings(
-                    id, "here", "127.0.0.1", 0, "127.0.0.1", port, 0.1, 1, 1_000, 5_000, 8_000, 1_000);
+                    id, "here", "127.0.0.1", 0, "127.0.0.1", port, 0.1, 1, 1_000, 5_000, 8_000, 0.1, 0, 1_000);
             this.peers = Launch.await(RouterPeers.start(own, settings, this), TIMEOUT_MS);
         }
 
@@ -141,4 +141,37 @@
         assertThat(a.peers.heardPart(), is(1.0));
         a.stop();
     }
+
+    /** All registrations lapse while the store is away, also those of routers that live and hear each other. */
+    @Test
+    void aRouterThatIsHeardHasNotLeftThoughItsRegistrationLapsed() {
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.knows(b);
+        b.knows(a);
+        await(() -> a.peers.heardPart() == 1.0 && a.heard.containsKey("b"));
+        a.own.runOnContext(v -> a.peers.unregistered("b"));
+        b.totals.put("w", 1L);
+        await(() -> a.heard.get("b").totals().containsKey("w"));
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(4_000);
+        await(() -> System.nanoTime() > untilNs || a.peers.known() != 2);
+        assertThat(a.peers.known(), is(2));
+        b.totals.put("w", 2L);
+        await(() -> a.heard.get("b").totals().getOrDefault("w", 0L) == 2L);
+        a.stop();
+        b.stop();
+    }
+
+    @Test
+    void aRegistrationThatNamesNoAddressIsNoRouter() {
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.own.runOnContext(v -> a.peers.registered("other", "nowhere"));
+        a.knows(b);
+        b.knows(a);
+        await(() -> a.heard.containsKey("b"));
+        assertThat(a.peers.known(), is(2));
+        a.stop();
+        b.stop();
+    }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
@@ -89,7 +89,7 @@
         for (TargetState t : placement.targets()) {
             int calls = t.claimedCalls(time.wholeMs());
             if (calls > 0) {
-                out.put(t.info().id(), new TargetUse(calls, t.ownPrefillTokens()));
+                out.put(t.incarnation(), new TargetUse(calls, t.ownPrefillTokens()));
             }
         }
         return out;
@@ -173,7 +173,7 @@
         placement.unreachable(flight.target, time.wholeMs());
         end(t, flight);
         Set<String> avoid = new HashSet<>(flight.call.avoid());
-        avoid.add(flight.target.info().id());
+        avoid.add(flight.target.incarnation());
         place(t, avoid);
     }
 
