--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -1,10 +1,7 @@
 package org.onyxhinge.router.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -26,19 +23,16 @@
     private final HttpServerRequest request;
     private final CallerSide caller;
     private final long arrivedAtMs = MonotonicClock.nowMs();
-    private final Set<String> tried = new HashSet<>();
+    private final Tries tries = new Tries();
     private final CallRecord record = new CallRecord();
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private boolean quotaTaken;
-    private int sends;
-    private boolean ran;
     private boolean over;
     private Call waiting;
     private Attempt attempt;
     private long timerId = -1;
     private final StreamProgress stream = new StreamProgress();
-    private KeptAnswer kept;
 
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
@@ -137,7 +131,7 @@
 
     private void place() {
         long events = forwarder.lengths().expectedEvents(plan.route().name());
-        Call call = plan.call(tried, caller.headSent(), events);
+        Call call = plan.call(tries.avoid(), caller.headSent(), events);
         verdict(forwarder.placement().submit(call, MonotonicClock.nowMs()));
     }
 
@@ -167,9 +161,10 @@
     private void noPlace(String why, long retryAfterMs) {
         if (caller.headSent()) {
             cutOff(why);
-        } else if (kept != null) {
+        } else if (tries.kept() != null) {
+            KeptAnswer kept = tries.kept();
             passOn(kept.head(), kept.response(), kept.body());
-        } else if (ran) {
+        } else if (tries.mayHaveRun()) {
             fail(502, why, "the target broke off and no other takes the call");
         } else {
             refuse(why, retryAfterMs);
@@ -181,13 +176,10 @@
         if (over || plan.leftMs() <= 0) {
             return false;
         }
-        sends++;
-        record.sends = sends;
+        tries.sent();
+        record.sends = tries.sends();
         record.target = target.info().id();
-        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-        options.setMethod(request.method()).setURI(request.uri()).setHeaders(headers);
-        OutgoingCall outgoing = plan.outgoing(target.info().id(), stream.resumeAfter());
-        forwarder.protocol().writeCall(request.headers(), outgoing, headers);
+        plan.outgoing(target.info().id(), stream.resumeAfter()).write(request, forwarder.protocol(), options);
         return true;
     }
 
@@ -213,7 +205,7 @@
         if (over) {
             return;
         }
-        tried.add(a.target().incarnation());
+        tries.avoid(a.target());
         if (plan.timeForAnother()) {
             place();
         } else {
@@ -226,8 +218,8 @@
         record.note(a.target().info().id(), "not run, status " + answer.status());
         forwarder.metrics().event("sends.shed");
         if (!over) {
-            tried.add(a.target().incarnation());
-            if (mayRepeat()) {
+            tries.avoid(a.target());
+            if (tries.mayRepeat(plan, forwarder)) {
                 place();
             } else {
                 noPlace("target_full", forwarder.shedRetryMs());
@@ -240,12 +232,12 @@
         if (over) {
             return;
         }
-        ran = true;
+        tries.ran();
         boolean worthAnotherTry = answer.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
-        if (worthAnotherTry && kept == null) {
-            tried.add(a.target().incarnation());
-            if (mayRepeat()) {
-                kept = new KeptAnswer(answer, response, whole);
+        if (worthAnotherTry && tries.kept() == null) {
+            tries.avoid(a.target());
+            if (tries.mayRepeat(plan, forwarder)) {
+                tries.keep(new KeptAnswer(answer, response, whole));
                 place();
                 return;
             }
@@ -291,7 +283,7 @@
         if (over) {
             return;
         }
-        ran = true;
+        tries.ran();
         if (stream.insideAnEvent()) {
             broke(a, "stream ended inside an event");
             return;
@@ -303,26 +295,20 @@
 
     @Override
     public void broke(Attempt a, String why) {
-        ran = true;
+        tries.ran();
         record.note(a.target().info().id(), why);
         forwarder.metrics().event("sends.broken");
         if (over) {
             return;
         }
-        tried.add(a.target().incarnation());
-        if (plan.route().repeatable() && mayRepeat()) {
+        tries.avoid(a.target());
+        if (plan.route().repeatable() && tries.mayRepeat(plan, forwarder)) {
             place();
         } else {
             noPlace("target_broke", 0);
         }
     }
 
-    private boolean mayRepeat() {
-        return sends < plan.route().maxAttempts()
-                && plan.timeForAnother()
-                && forwarder.retries().tryRepeat(plan.service(), forwarder.routers(), MonotonicClock.nowMs());
-    }
-
     private void timeIsUp() {
         giveUp(504, "timeout", "no whole answer within the time there was", 0);
     }
@@ -340,7 +326,7 @@
         stopWork();
         if (caller.headSent()) {
             cutOff(why);
-        } else if (ran || sends > 0) {
+        } else if (tries.sends() > 0) {
             fail(status, why, message);
         } else {
             refuse(why, retryAfterMs);
@@ -402,7 +388,7 @@
         if (timerId >= 0) {
             forwarder.vertx().cancelTimer(timerId);
         }
-        if (sends == 0 && quotaTaken) {
+        if (tries.sends() == 0 && quotaTaken) {
             forwarder.quotas().giveBack(plan, MonotonicClock.nowMs());
         }
         forwarder.ended(this, request.connection());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -30,7 +28,6 @@
 import org.onyxhinge.core.place.PlacementSettings;
 import org.onyxhinge.core.place.Target;
 import org.onyxhinge.core.place.TargetState;
-import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.TargetService;
 import org.onyxhinge.wire.MonotonicClock;
@@ -43,9 +40,6 @@
 public final class Forwarder {
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
-    /** Calls that wait are looked at so often, for their time to be refused; room wakes them sooner. */
-    private static final long PUMP_MS = 10;
-
     private static final long SWEEP_MS = 100;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -68,17 +62,15 @@
     private final LapsedTargets lapsed = LapsedTargets.create();
     private final Set<Attempt> attempts = new HashSet<>();
     private final Set<Exchange> exchanges = new HashSet<>();
-    private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
     private final PeersSide peersSide;
     private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
     private Context context;
     private Intake intake;
+    private WaitingExchanges waiting;
     private RouterPeers peers;
     private HttpServer server;
-    private boolean pumping;
-    private boolean pumpTimed;
     private volatile ForwardingConfig config;
 
     private Forwarder(
@@ -107,6 +99,7 @@
         Promise<Forwarder> started = Promise.promise();
         f.context = vertx.getOrCreateContext();
         f.intake = new Intake(vertx, f.context, f.metrics);
+        f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
     }
@@ -229,9 +222,13 @@
 
     /** Takes the record of workspaces' use in, as it was read from the store. */
     public void usageRecorded(byte[] bytes) {
-        context.runOnContext(v -> UsageRecord.decode(bytes)
-                .peek(quotas::recorded)
-                .peekLeft(e -> LOG.errorf("usage record unreadable error=%s", e)));
+        context.runOnContext(v -> {
+            if (quotas.wantsRecord()) {
+                UsageRecord.decode(bytes)
+                        .peek(quotas::recorded)
+                        .peekLeft(e -> LOG.errorf("usage record unreadable error=%s", e));
+            }
+        });
     }
 
     /** True when callers' calls can be served. */
@@ -271,6 +268,7 @@
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openNow())
                 .put("targetConnectionsOpened", connections.opened())
+                .put("usageRecordAgeMs", quotas.recordAgeMs())
                 .put("routersKnown", peers.known())
                 .put("routersHeardPart", peers.heardPart())));
         return out.future();
@@ -286,45 +284,15 @@
         peers.leavePlace(routerId, targetId);
     }
 
-    /** Takes a call in that waits for room. A timer runs only while any do: an idle router is not woken for it. */
+    /** Takes a call in that waits for room. */
     void waits(Call call, Exchange exchange) {
-        waiting.put(call, exchange);
-        if (!pumpTimed) {
-            pumpTimed = true;
-            vertx.setTimer(PUMP_MS, t -> pumpTimer());
-        }
+        waiting.add(call, exchange);
         peers.callsWait();
     }
 
-    private void pumpTimer() {
-        pumpIfWaiting();
-        pumpTimed = !waiting.isEmpty();
-        if (pumpTimed) {
-            vertx.setTimer(PUMP_MS, t -> pumpTimer());
-        }
-    }
-
     /** Looks for room for waiting calls once the current event has been handled. */
     void pumpSoon() {
-        if (!pumping && !waiting.isEmpty()) {
-            pumping = true;
-            context.runOnContext(v -> {
-                pumping = false;
-                pumpIfWaiting();
-            });
-        }
-    }
-
-    private void pumpIfWaiting() {
-        if (waiting.isEmpty()) {
-            return;
-        }
-        for (Verdict verdict : placement.pump(MonotonicClock.nowMs())) {
-            Exchange x = waiting.get(verdict.call());
-            if (x != null) {
-                x.verdict(verdict);
-            }
-        }
+        waiting.pumpSoon();
     }
 
     private void sweep() {
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/HeardRouters.java
@@ -0,0 +1,78 @@
+package org.onyxhinge.router.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.wire.peer.PeerMessage;
+
+/** What each other router last said, and whether it still speaks. */
+final class HeardRouters {
+
+    /** Three signs of life missed, and one on its way. */
+    static final long SILENT_MS = 1_500;
+
+    private static final Logger LOG = Logger.getLogger(HeardRouters.class);
+
+    private final Map<String, Heard> routers = new HashMap<>();
+
+    /** What one router last said. */
+    private static final class Heard {
+        private long life;
+        private long atMs;
+        private final Map<String, TargetUse> uses = new HashMap<>();
+
+        boolean speaks(long nowMs) {
+            return nowMs - atMs < SILENT_MS;
+        }
+    }
+
+    /** Takes a message in; returns the sender's whole current use. */
+    PeerMessage.Usage received(PeerMessage.Usage usage, long nowMs) {
+        Heard h = routers.computeIfAbsent(usage.routerId(), id -> new Heard());
+        if (usage.whole() || h.life != usage.life()) {
+            h.uses.clear();
+        }
+        h.life = usage.life();
+        h.atMs = nowMs;
+        usage.uses().forEach((id, use) -> {
+            if (use.calls() == 0) {
+                h.uses.remove(id);
+            } else {
+                h.uses.put(id, use);
+            }
+        });
+        return new PeerMessage.Usage(
+                usage.routerId(), usage.life(), true, h.uses, usage.totals(), usage.windows(), usage.waiting());
+    }
+
+    /** Forgets what routers that have fallen silent had running, and tells of each as of one that uses nothing. */
+    void forgetSilent(long nowMs, Side side) {
+        routers.forEach((id, h) -> {
+            if (!h.speaks(nowMs) && !h.uses.isEmpty()) {
+                LOG.infof("router silent router=%s silentMs=%d", id, nowMs - h.atMs);
+                h.uses.clear();
+                side.usageHeard(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of(), Map.of(), Map.of()));
+            }
+        });
+    }
+
+    /** Hears a router's whole current use. */
+    @FunctionalInterface
+    interface Side {
+        void usageHeard(String routerId, PeerMessage.Usage usage);
+    }
+
+    /** True while a router speaks. */
+    boolean speaks(String routerId, long nowMs) {
+        Heard h = routers.get(routerId);
+        return h != null && h.speaks(nowMs);
+    }
+
+    /** True when no router that speaks has an id before {@code routerId}. */
+    boolean noneBefore(String routerId, long nowMs) {
+        return routers.entrySet().stream()
+                .noneMatch(e -> e.getValue().speaks(nowMs) && e.getKey().compareTo(routerId) < 0);
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Intake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Intake.java
@@ -54,13 +54,11 @@
             late.refuseStarved(queue.expectedWaitMs(Integer.MAX_VALUE));
         }
         long nowMs = startMs;
-        while (nowMs - startMs < SLICE_MS) {
-            Optional<Exchange> next = queue.next(nowMs);
-            if (next.isEmpty()) {
-                break;
-            }
+        Optional<Exchange> next = queue.next(nowMs);
+        while (next.isPresent()) {
             next.get().begin();
             nowMs = MonotonicClock.nowMs();
+            next = nowMs - startMs < SLICE_MS ? queue.next(nowMs) : Optional.empty();
         }
         scheduled = !queue.isEmpty();
         if (scheduled) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -1,13 +1,10 @@
 package org.onyxhinge.router.forward;
 
-import java.net.ConnectException;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -47,13 +44,8 @@
 
     private static final long BUSY_MS_PER_LINK = 4;
 
-    private static final long SIGN_OF_LIFE_MS = 400;
-    /** Three signs of life missed, and one on its way. */
-    private static final long SILENT_MS = 1_500;
-
     private static final int CONNECT_TIMEOUT_MS = 500;
-    /** A router that is starting refuses connections for a few hundred ms; quotas are in full use once it is heard. */
-    private static final long DIAL_AGAIN_MS = 120;
+
     /**
      * A router whose registration lapsed may still be serving where nothing stops it; its part of the quotas is
      * kept so long.
@@ -66,17 +58,14 @@
      */
     private static final long REGISTERS_AGAIN_MS = 3_000;
 
-    /** For so long after its VM refused a connection, a router's process is known not to run. */
-    private static final long REFUSED_MS = 1_500;
-
     private final Vertx vertx;
     private final ForwardingSettings settings;
     private final long life = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Side side;
     private final NetClient client;
     private final PeerTraffic traffic = new PeerTraffic();
-    private final Map<String, Link> links = new HashMap<>();
-    private final Map<String, Heard> heard = new HashMap<>();
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final HeardRouters heard = new HeardRouters();
     private final Map<String, Long> vanishedAtMs = new HashMap<>();
     private long beatDueMs;
     private long beatTimer = -1;
@@ -103,32 +92,6 @@
         void placeOffered(String targetId);
     }
 
-    /** Our sending side towards one router. */
-    private static final class Link {
-        private final HostPort address;
-        private PeerConnection connection;
-        private long connectedAtMs;
-        private boolean dialling;
-        private long dialAfterMs;
-        private long refusedAtMs = -REFUSED_MS;
-        private boolean whole = true;
-        private long sentAtMs;
-        private Map<String, TargetUse> sentUses = Map.of();
-        private Map<String, Long> sentTotals = Map.of();
-        private Map<String, Map<Integer, Integer>> sentWaiting = Map.of();
-
-        Link(HostPort address) {
-            this.address = address;
-        }
-    }
-
-    /** What one router last said. */
-    private static final class Heard {
-        private long life;
-        private long atMs;
-        private final Map<String, TargetUse> uses = new HashMap<>();
-    }
-
     private RouterPeers(Vertx vertx, ForwardingSettings settings, Side side) {
         this.vertx = vertx;
         this.settings = settings;
@@ -159,15 +122,16 @@
             LOG.errorf("router rejected router=%s error=%s", routerId, e.getMessage());
             return;
         }
-        Link known = links.get(routerId);
-        if (routerId.equals(settings.routerId()) || known != null && known.address.equals(address)) {
+        PeerLink known = links.get(routerId);
+        if (routerId.equals(settings.routerId())
+                || known != null && known.address().equals(address)) {
             return;
         }
-        if (known != null && known.connection != null) {
-            known.connection.close();
+        if (known != null) {
+            known.close();
         }
         LOG.infof("router joined router=%s address=%s", routerId, address);
-        links.put(routerId, new Link(address));
+        links.put(routerId, new PeerLink(routerId, address));
     }
 
     /** Notes that a router is no longer registered. */
@@ -180,36 +144,22 @@
     /** Routers there should be, this one included. */
     int known() {
         long nowMs = MonotonicClock.nowMs();
-        int n = 1;
-        for (Link link : links.values()) {
-            n += isDown(link, nowMs) ? 0 : 1;
-        }
-        return n;
-    }
-
-    private static boolean isDown(Link link, long nowMs) {
-        return link.connection == null && nowMs - link.refusedAtMs < REFUSED_MS;
+        return 1 + (int) links.values().stream().filter(l -> !l.isDown(nowMs)).count();
     }
 
     /** The part of the routers there should be that are heard, this one counted in both. */
     double heardPart() {
         long nowMs = MonotonicClock.nowMs();
         int n = 1;
-        for (Map.Entry<String, Link> e : links.entrySet()) {
-            n += !isDown(e.getValue(), nowMs) && isHeard(heard.get(e.getKey()), nowMs) ? 1 : 0;
+        for (Map.Entry<String, PeerLink> e : links.entrySet()) {
+            n += !e.getValue().isDown(nowMs) && heard.speaks(e.getKey(), nowMs) ? 1 : 0;
         }
         return (double) n / known();
     }
 
     /** Whether this router's id comes first among those that hear each other. */
     boolean comesFirst() {
-        long nowMs = MonotonicClock.nowMs();
-        return heard.entrySet().stream()
-                .noneMatch(e -> isHeard(e.getValue(), nowMs) && e.getKey().compareTo(settings.routerId()) < 0);
-    }
-
-    private static boolean isHeard(Heard h, long nowMs) {
-        return h != null && nowMs - h.atMs < SILENT_MS;
+        return heard.noneBefore(settings.routerId(), MonotonicClock.nowMs());
     }
 
     private void received(PeerMessage message) {
@@ -224,37 +174,16 @@
     }
 
     private void usageReceived(PeerMessage.Usage usage) {
-        Heard h = heard.computeIfAbsent(usage.routerId(), id -> new Heard());
-        if (usage.whole() || h.life != usage.life()) {
-            h.uses.clear();
-        }
-        h.life = usage.life();
-        h.atMs = MonotonicClock.nowMs();
-        Link back = links.get(usage.routerId());
+        long nowMs = MonotonicClock.nowMs();
+        PeerMessage.Usage now = heard.received(usage, nowMs);
+        PeerLink back = links.get(usage.routerId());
         if (back != null) {
-            // It runs: no need to wait before it is dialled.
-            back.dialAfterMs = 0;
-        }
-        if (usage.whole()) {
-            renew(back, h.atMs);
-        }
-        usage.uses().forEach((id, use) -> {
-            if (use.calls() == 0) {
-                h.uses.remove(id);
-            } else {
-                h.uses.put(id, use);
+            back.itRuns();
+            if (usage.whole()) {
+                back.renew(nowMs);
             }
-        });
-        side.usageHeard(
-                usage.routerId(),
-                new PeerMessage.Usage(
-                        usage.routerId(),
-                        usage.life(),
-                        true,
-                        h.uses,
-                        usage.totals(),
-                        usage.windows(),
-                        usage.waiting()));
+        }
+        side.usageHeard(usage.routerId(), now);
     }
 
     /** Notes that a call waits: peers that have room are told of it sooner than usual. */
@@ -282,45 +211,20 @@
 
     private void beat() {
         long nowMs = MonotonicClock.nowMs();
-        forgetSilent(nowMs);
+        heard.forgetSilent(nowMs, side::usageHeard);
         dropVanished(nowMs);
         if (links.isEmpty()) {
             return;
         }
-        Map<String, Map<Integer, Integer>> waitingNow = side.waiting();
-        Map<String, TargetUse> usesNow = side.uses();
-        Map<String, Long> totalsNow = side.totals();
-        for (Map.Entry<String, Link> e : links.entrySet()) {
-            Link link = e.getValue();
-            if (!isHeard(heard.get(e.getKey()), nowMs)) {
-                renew(link, nowMs);
+        PeerLink.State state = new PeerLink.State(side.uses(), side.totals(), side.waiting());
+        links.forEach((id, link) -> {
+            if (!heard.speaks(id, nowMs)) {
+                link.renew(nowMs);
             }
-            if (link.connection == null) {
-                dial(e.getKey(), link, nowMs);
+            if (link.connected()) {
+                link.send(settings.routerId(), life, state, side::windows, nowMs);
             } else {
-                send(link, usesNow, totalsNow, waitingNow, nowMs);
-            }
-        }
-    }
-
-    /**
-     * Makes the connection to a router anew. A connection can go silent without a reset: the side that
-     * hears nothing makes its own anew, and the other side, seeing that, does the same.
-     */
-    private static void renew(Link link, long nowMs) {
-        if (link != null && link.connection != null && nowMs - link.connectedAtMs > SILENT_MS) {
-            PeerConnection old = link.connection;
-            link.connection = null;
-            old.close();
-        }
-    }
-
-    private void forgetSilent(long nowMs) {
-        heard.forEach((id, h) -> {
-            if (!isHeard(h, nowMs) && !h.uses.isEmpty()) {
-                LOG.infof("router silent router=%s silentMs=%d", id, nowMs - h.atMs);
-                h.uses.clear();
-                side.usageHeard(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of(), Map.of(), Map.of()));
+                link.dial(client, traffic, this::received, nowMs);
             }
         });
     }
@@ -329,94 +233,17 @@
     private void dropVanished(long nowMs) {
         long keepMs = settings.keyProofMs() > 0 ? REGISTERS_AGAIN_MS : KEEP_VANISHED_MS;
         vanishedAtMs.entrySet().removeIf(e -> {
-            boolean drop = nowMs - e.getValue() > keepMs && !isHeard(heard.get(e.getKey()), nowMs);
+            boolean drop = nowMs - e.getValue() > keepMs && !heard.speaks(e.getKey(), nowMs);
             if (drop) {
                 LOG.infof("router left router=%s", e.getKey());
-                Link link = links.remove(e.getKey());
-                if (link != null && link.connection != null) {
-                    link.connection.close();
-                }
+                Optional.ofNullable(links.remove(e.getKey())).ifPresent(PeerLink::close);
             }
             return drop;
         });
     }
 
-    private void dial(String routerId, Link link, long nowMs) {
-        if (link.dialling || nowMs < link.dialAfterMs) {
-            return;
-        }
-        link.dialling = true;
-        client.connect(link.address.port(), link.address.host())
-                .onSuccess(socket -> {
-                    link.dialling = false;
-                    link.whole = true;
-                    long connectedAtMs = MonotonicClock.nowMs();
-                    link.connectedAtMs = connectedAtMs;
-                    link.connection = PeerConnection.attach(socket, traffic, this::received, () -> {
-                        LOG.infof("router link lost router=%s", routerId);
-                        if (link.connectedAtMs == connectedAtMs) {
-                            link.connection = null;
-                        }
-                    });
-                })
-                .onFailure(e -> {
-                    long failedAtMs = MonotonicClock.nowMs();
-                    if (e instanceof ConnectException && !(e instanceof ConnectTimeoutException)) {
-                        link.refusedAtMs = failedAtMs;
-                    }
-                    LOG.debugf("router not reached router=%s error=%s", routerId, e.getMessage());
-                    link.dialling = false;
-                    link.dialAfterMs = failedAtMs + DIAL_AGAIN_MS;
-                });
-    }
-
-    private void send(
-            Link link,
-            Map<String, TargetUse> usesNow,
-            Map<String, Long> totalsNow,
-            Map<String, Map<Integer, Integer>> waitingNow,
-            long nowMs) {
-        Map<String, TargetUse> changedUses = link.whole ? usesNow : changed(link.sentUses, usesNow);
-        Map<String, Long> changedTotals = new HashMap<>(totalsNow);
-        if (!link.whole) {
-            changedTotals.entrySet().removeIf(e -> e.getValue().equals(link.sentTotals.get(e.getKey())));
-        }
-        boolean quiet = changedUses.isEmpty() && changedTotals.isEmpty() && waitingNow.equals(link.sentWaiting);
-        if (quiet && !link.whole && nowMs - link.sentAtMs < SIGN_OF_LIFE_MS) {
-            return;
-        }
-        boolean sent = link.connection.send(new PeerMessage.Usage(
-                settings.routerId(),
-                life,
-                link.whole,
-                changedUses,
-                changedTotals,
-                link.whole ? side.windows() : Map.of(),
-                waitingNow));
-        if (sent) {
-            link.sentUses = usesNow;
-            link.sentTotals = totalsNow;
-            link.sentWaiting = waitingNow;
-            link.sentAtMs = nowMs;
-        }
-        // After a message that was dropped, what the other side has is not known.
-        link.whole = !sent;
-    }
-
     /** Tells a router that a place at a target is left to it. */
     void leavePlace(String routerId, String targetId) {
-        Link link = links.get(routerId);
-        if (link != null && link.connection != null) {
-            link.connection.send(new PeerMessage.PlaceLeft(targetId));
-        }
-    }
-
-    private static Map<String, TargetUse> changed(Map<String, TargetUse> before, Map<String, TargetUse> now) {
-        Map<String, TargetUse> out = new HashMap<>(now);
-        out.entrySet().removeIf(e -> e.getValue().equals(before.get(e.getKey())));
-        Set<String> cleared = new HashSet<>(before.keySet());
-        cleared.removeAll(now.keySet());
-        cleared.forEach(id -> out.put(id, new TargetUse(0, 0)));
-        return out;
+        Optional.ofNullable(links.get(routerId)).ifPresent(l -> l.leavePlace(targetId));
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
@@ -1,13 +1,14 @@
 package org.onyxhinge.router.forward;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
 import org.onyxhinge.wire.kv.KvMessage;
 import org.onyxhinge.wire.kv.KvStore;
 
 /**
- * Keeps the record of what workspaces have used in the key-value service. One router writes it, so it costs two writes a
- * second whatever the size of the fleet. Without it routers that all start again presume nine tenths of each limit as
+ * Keeps the record of what workspaces have used in the key-value service. One router writes it, so it costs two writes
+ * a second whatever the size of the fleet. Without it routers that all start again presume nine tenths of each limit as
  * used, and refuse workspaces within their limits for the first second (a third of the calls).
  */
 public final class UsageKeeper {
@@ -42,7 +43,7 @@
         forwarder
                 .usageToRecord()
                 .compose(bytes -> bytes.isEmpty()
-                        ? io.vertx.core.Future.<KvMessage.Reply>succeededFuture()
+                        ? Future.<KvMessage.Reply>succeededFuture()
                         : store.put(key, bytes.get(), KvMessage.ANY, 0))
                 .onFailure(e -> LOG.debugf("usage not recorded key=%s error=%s", key, e.getMessage()))
                 .onComplete(r -> writing = false);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -105,11 +105,16 @@
         return limit * settings.quotaToleranceRatio() + settings.quotaToleranceUnits();
     }
 
-    /** Takes in what was on record when this router started; later records say no more than the peers do. */
+    /** True until a record was found, or calls were counted without one: later records say no more than peers do. */
+    boolean wantsRecord() {
+        return record.isEmpty() && quotas.isEmpty();
+    }
+
+    /** Takes in what was on record when this router started. */
     void recorded(UsageRecord used) {
         long ageMs = startedAtEpochMs - used.asOfMs();
         boolean plausible = ageMs >= -MOST_CLOCK_ERROR_MS && ageMs < windowMs;
-        if (record.isEmpty() && quotas.isEmpty() && plausible) {
+        if (wantsRecord() && plausible) {
             record = Optional.of(used);
             recordAgeMs = Math.max(0, ageMs);
             LOG.infof(
@@ -118,6 +123,11 @@
         }
     }
 
+    /** How old the record was that this router found at its start; -1 when it found none. */
+    long recordAgeMs() {
+        return record.isPresent() ? recordAgeMs : -1;
+    }
+
     /** What all routers have used in the window, for the record. */
     Map<String, Long> usedInWindow(long nowMs) {
         Map<String, Long> out = new HashMap<>();
