--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
@@ -29,7 +29,8 @@
     /** For so long after its VM refused a connection, a router's process is known not to run. */
     private static final long REFUSED_MS = 1_500;
 
-    private static final long SIGN_OF_LIFE_MS = 400;
+    /** Longest time between two messages to one router; {@link HeardRouters#SILENT_MS} is worked out from it. */
+    static final long SIGN_OF_LIFE_MS = 400;
 
     private final String routerId;
     private final HostPort address;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -38,7 +38,8 @@
 
     /**
      * Bounds what a router sends to about 80 messages a second, and to 250 while calls wait: what six routers send
-     * each other at the intervals above. Each message costs both ends a system call and a wake-up.
+     * each other at the intervals above. Each message costs both ends a system call and a wake-up. Beyond 33 links, and
+     * 100 while calls wait, signs of life alone are more.
      */
     private static final long MS_PER_LINK = 12;
 
@@ -188,23 +189,27 @@
 
     /** Notes that a call waits: peers that have room are told of it sooner than usual. */
     void callsWait() {
-        long inMs = intervalMs(SEND_BUSY_MS, BUSY_MS_PER_LINK);
+        long inMs = intervalMs(links.size(), true);
         if (beatDueMs - MonotonicClock.nowMs() > inMs) {
             vertx.cancelTimer(beatTimer);
             scheduleBeat(inMs);
         }
     }
 
-    /** A larger fleet speaks less often: each router's own calls, and so what it has to tell, are fewer there. */
-    private long intervalMs(long leastMs, long msPerLink) {
-        return Math.max(leastMs, links.size() * msPerLink);
+    /**
+     * Time between two messages to each other router. A larger fleet speaks less often: each router's own calls, and so
+     * what it has to tell, are fewer there. But nobody may fall silent.
+     */
+    static long intervalMs(int links, boolean callsWait) {
+        long wantedMs =
+                callsWait ? Math.max(SEND_BUSY_MS, links * BUSY_MS_PER_LINK) : Math.max(SEND_MS, links * MS_PER_LINK);
+        return Math.min(wantedMs, PeerLink.SIGN_OF_LIFE_MS);
     }
 
     private void scheduleBeat(long inMs) {
         beatDueMs = MonotonicClock.nowMs() + inMs;
         beatTimer = vertx.setTimer(inMs, t -> {
-            boolean busy = !side.waiting().isEmpty();
-            scheduleBeat(busy ? intervalMs(SEND_BUSY_MS, BUSY_MS_PER_LINK) : intervalMs(SEND_MS, MS_PER_LINK));
+            scheduleBeat(intervalMs(links.size(), !side.waiting().isEmpty()));
             beat();
         });
     }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -142,6 +142,17 @@
         a.stop();
     }
 
+    /** 6, 21 and 410 routers: what each sends stays bounded, and in the largest fleet nobody is taken for silent. */
+    @Test
+    void aLargerFleetSpeaksLessOftenButNeverFallsSilent() {
+        assertThat(RouterPeers.intervalMs(5, false), is(60L));
+        assertThat(RouterPeers.intervalMs(5, true), is(20L));
+        assertThat(RouterPeers.intervalMs(20, false), is(240L));
+        assertThat(RouterPeers.intervalMs(20, true), is(80L));
+        assertThat(RouterPeers.intervalMs(409, false) * 3 < HeardRouters.SILENT_MS, is(true));
+        assertThat(RouterPeers.intervalMs(409, true) * 3 < HeardRouters.SILENT_MS, is(true));
+    }
+
     /** All registrations lapse while the store is away, also those of routers that live and hear each other. */
     @Test
     void aRouterThatIsHeardHasNotLeftThoughItsRegistrationLapsed() {
