--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
@@ -237,7 +237,7 @@
             TestSite.await("r1 fills the engine with low-tier work", () -> running("e1") == 2);
             TestSite.await("r2 knows", () -> othersInFlight("r2", "e1") == 2);
             Outcome high = Launch.await(site.driver("r2").send(draft(10)), TestSite.CALL_MS);
-            assertThat("r1 makes room for r2's higher tier", high.whole(), is(true));
+            assertThat("r1 makes room for r2's higher tier: " + high, high.whole(), is(true));
             assertThat(site.stats("e1").getLong("cancelled"), equalTo(1L));
             site.pause("r1");
             TestSite.await("the freed slot is taken again or seen", () -> othersInFlight("r2", "e1") >= 1);
