--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -209,7 +209,7 @@
     }
 
     /**
-     * What workspaces have used, for the record; empty where another router is to write it, or nothing has changed. A
+     * What workspaces have used, for the record; empty where another router is to write it, or nothing was counted. A
      * record is written by the router whose id comes first among those that hear each other.
      */
     public Future<Optional<byte[]>> usageToRecord() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
@@ -12,8 +12,7 @@
 
 /**
  * Exchanges whose calls wait for room at a target. They are looked at when something has changed, and by a timer that
- * runs only while any wait: timers that always ran took a twentieth of the core of an idle router that had just
- * started.
+ * runs only while any wait: an idle router that has just started is short of the processor time that a timer takes.
  */
 final class WaitingExchanges {
 
