Placement: no rank is shut out of a service while more urgent ones want every place

Cause: calls go strictly by rank, so in an overload that lasts the last rank gets nothing, however little it asks for; the estimate that refuses early then turns it away on arrival. Change: each router counts what it sent and refused of each rank over 10 s (callers who came back left out); a first try of a rank that has less than half of what all have sent goes by the most urgent rank. Nothing is agreed between routers.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -178,19 +178,19 @@
             return new Verdict.Refuse(call, Verdict.Reason.NO_TARGET, NO_TARGET_RETRY_MS, Optional.empty());
         }
         ServiceDemand demand = demand(call.service());
-        demand.arrived(call.rank(), nowMs);
+        int rank = demand.arrived(call, nowMs);
         WaitingCalls queue = demand.waiting();
-        if (queue.ahead(call.rank(), c -> true) == 0) {
-            Optional<TargetState> free = place(service, call, nowMs);
+        if (queue.ahead(rank, c -> true) == 0) {
+            Optional<TargetState> free = place(service, call, rank, nowMs);
             if (free.isPresent()) {
                 return send(call, free.get(), nowMs);
             }
         }
-        WaitEstimate estimate = expectedWait(call, nowMs);
+        WaitEstimate estimate = expectedWait(call, rank, nowMs);
         if (settings.refuseEarly() && nowMs + estimate.waitMs() / ESTIMATE_SLACK > call.holdUntilMs()) {
-            return refuse(call, Verdict.Reason.BUSY, estimate);
+            return refuse(call, Verdict.Reason.BUSY, estimate, nowMs);
         }
-        queue.add(call);
+        queue.add(call, rank);
         return new Verdict.Wait(call);
     }
 
@@ -203,13 +203,14 @@
 
     private void pump(ServiceTargets service, WaitingCalls queue, long nowMs, List<Verdict> out) {
         for (Call call : queue.take(c -> nowMs >= c.holdUntilMs())) {
-            out.add(refuse(call, Verdict.Reason.WAITED, expectedWait(call, nowMs)));
+            out.add(refuse(call, Verdict.Reason.WAITED, expectedWait(call, call.rank(), nowMs), nowMs));
         }
         if (queue.isEmpty() || !service.anyRoom(nowMs)) {
             return;
         }
-        for (Call call : queue.inOrder(c -> service.canBeOnTime(c, nowMs))) {
-            Optional<TargetState> free = place(service, call, nowMs);
+        for (WaitingCalls.Entry entry : queue.inOrder(c -> service.canBeOnTime(c, nowMs))) {
+            Call call = entry.call();
+            Optional<TargetState> free = place(service, call, entry.rank(), nowMs);
             if (free.isPresent()) {
                 queue.remove(call);
                 out.add(send(call, free.get(), nowMs));
@@ -220,9 +221,9 @@
     }
 
     /** The best free place for a call, once what is free has been left to peers whose calls are more urgent. */
-    private Optional<TargetState> place(ServiceTargets service, Call call, long nowMs) {
+    private Optional<TargetState> place(ServiceTargets service, Call call, int rank, long nowMs) {
         Optional<TargetState> free = service.best(call, nowMs);
-        while (free.isPresent() && leaveToPeer(service.name(), call.rank(), free.get(), nowMs)) {
+        while (free.isPresent() && leaveToPeer(service.name(), rank, free.get(), nowMs)) {
             free = service.best(call, nowMs);
         }
         return free;
@@ -314,14 +315,17 @@
 
     private Verdict send(Call call, TargetState target, long nowMs) {
         target.started(call);
+        demand(call.service()).sent(call, nowMs);
         return new Verdict.Send(call, target);
     }
 
-    private WaitEstimate expectedWait(Call call, long nowMs) {
-        return demand(call.service()).expectedWait(call, services.get(call.service()), peerUses.size() + 1, nowMs);
+    private WaitEstimate expectedWait(Call call, int rank, long nowMs) {
+        return demand(call.service())
+                .expectedWait(call, rank, services.get(call.service()), peerUses.size() + 1, nowMs);
     }
 
-    private static Verdict refuse(Call call, Verdict.Reason reason, WaitEstimate estimate) {
+    private Verdict refuse(Call call, Verdict.Reason reason, WaitEstimate estimate, long nowMs) {
+        demand(call.service()).refused(call, nowMs);
         return new Verdict.Refuse(call, reason, retryAfterMs(estimate.waitMs()), Optional.of(estimate));
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -17,6 +17,7 @@
     private final Rate freed = new Rate();
     private final Map<Integer, Rate> arrivals = new TreeMap<>();
     private final Map<String, PeerDemand> peers = new HashMap<>();
+    private final RankShares shares = new RankShares();
 
     /** A peer in need of a place, and what it needs. */
     record Neediest(String peer, PeerDemand demand) {}
@@ -26,8 +27,18 @@
         return waiting;
     }
 
-    void arrived(int rank, long nowMs) {
-        arrivals.computeIfAbsent(rank, r -> new Rate()).event(nowMs);
+    /** Notes a call that arrives, or wants a further target; tells the rank that it goes by. */
+    int arrived(Call call, long nowMs) {
+        arrivals.computeIfAbsent(call.rank(), r -> new Rate()).event(nowMs);
+        return shares.precedence(call, nowMs);
+    }
+
+    void sent(Call call, long nowMs) {
+        shares.sent(call, nowMs);
+    }
+
+    void refused(Call call, long nowMs) {
+        shares.refused(call, nowMs);
     }
 
     /** Notes that one of this router's calls has ended. */
@@ -61,16 +72,18 @@
      * How long a call would wait: those ahead of it here and at the peers over the rate at which places fall free
      * for all routers, less what arrivals of more urgent ranks will take meanwhile. Peers are taken to see the
      * same arrivals and ends as this router.
+     *
+     * @param rank the rank it goes by
      */
-    WaitEstimate expectedWait(Call call, ServiceTargets targets, int routers, long nowMs) {
+    WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
         double freedPerSecond = Math.max(freed.perSecond(nowMs) * routers, fullTurnoverPerSecond(call, targets));
         double urgentPerSecond = 0;
         for (Map.Entry<Integer, Rate> e : arrivals.entrySet()) {
-            urgentPerSecond += e.getKey() < call.rank() ? e.getValue().perSecond(nowMs) * routers : 0;
+            urgentPerSecond += e.getKey() < rank ? e.getValue().perSecond(nowMs) * routers : 0;
         }
-        int ahead = waiting.ahead(call.rank(), c -> targets.canBeOnTime(c, nowMs));
+        int ahead = waiting.ahead(rank, c -> targets.canBeOnTime(c, nowMs));
         for (PeerDemand d : peers.values()) {
-            ahead += d.waitingUpTo(call.rank());
+            ahead += d.waitingUpTo(rank);
         }
         return WaitEstimate.of(ahead, freedPerSecond, urgentPerSecond);
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -8,20 +8,27 @@
 import java.util.function.Predicate;
 
 /**
- * Calls of one service that wait for room. By rank; within a rank those that can still be on time go before
+ * Calls of one service that wait for room. By the rank they go by; within it those that can still be on time go before
  * those that cannot, or one burst would make every later call late as well; of either, callers who were sent
  * away and came back go first, then by arrival.
  */
 final class WaitingCalls {
 
-    private final List<Call> calls = new ArrayList<>();
+    private final List<Entry> calls = new ArrayList<>();
 
-    void add(Call call) {
-        calls.add(call);
+    /**
+     * A call that waits.
+     *
+     * @param rank the rank it goes by, which may be more urgent than its own
+     */
+    record Entry(Call call, int rank) {}
+
+    void add(Call call, int rank) {
+        calls.add(new Entry(call, rank));
     }
 
     boolean remove(Call call) {
-        return calls.removeIf(c -> c == call);
+        return calls.removeIf(e -> e.call() == call);
     }
 
     int size() {
@@ -34,36 +41,36 @@
 
     Map<Integer, Integer> countByRank() {
         Map<Integer, Integer> out = new HashMap<>();
-        calls.forEach(c -> out.merge(c.rank(), 1, Integer::sum));
+        calls.forEach(e -> out.merge(e.rank(), 1, Integer::sum));
         return out;
     }
 
     /** Takes out those that match. */
     List<Call> take(Predicate<Call> which) {
         List<Call> out = new ArrayList<>();
-        calls.removeIf(c -> which.test(c) && out.add(c));
+        calls.removeIf(e -> which.test(e.call()) && out.add(e.call()));
         return out;
     }
 
     /** Everyone in the order in which they go. */
-    List<Call> inOrder(Predicate<Call> onTime) {
-        record Place(Call call, boolean late, int number) {}
+    List<Entry> inOrder(Predicate<Call> onTime) {
+        record Place(Entry entry, boolean late, int number) {}
         List<Place> places = new ArrayList<>();
         for (int i = 0; i < calls.size(); i++) {
-            places.add(new Place(calls.get(i), !onTime.test(calls.get(i)), i));
+            places.add(new Place(calls.get(i), !onTime.test(calls.get(i).call()), i));
         }
-        places.sort(Comparator.comparingInt((Place p) -> p.call.rank())
+        places.sort(Comparator.comparingInt((Place p) -> p.entry.rank())
                 .thenComparing(Place::late)
-                .thenComparing(p -> !p.call.returned())
+                .thenComparing(p -> !p.entry.call().returned())
                 .thenComparingInt(Place::number));
-        return places.stream().map(Place::call).toList();
+        return places.stream().map(Place::entry).toList();
     }
 
-    /** Calls that go before a newcomer of {@code rank} that can be on time. */
+    /** Calls that go before a newcomer that goes by {@code rank} and can be on time. */
     int ahead(int rank, Predicate<Call> onTime) {
         int n = 0;
-        for (Call c : calls) {
-            n += c.rank() < rank || c.rank() == rank && onTime.test(c) ? 1 : 0;
+        for (Entry e : calls) {
+            n += e.rank() < rank || e.rank() == rank && onTime.test(e.call()) ? 1 : 0;
         }
         return n;
     }
