Placement: of the places that all routers see free, each takes only its own

Change: of a target's free places a router takes those its own calls freed, those left to it, and of the others one if its turn for that target (rendezvous hashing of the routers' ids, the same at all of them) is among the first; of a peer's waiting calls as many routers leave it a place as it has calls, by the same order; a router where nobody waits leaves what is free to peers that wait. A router that falls silent leaves the order.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -61,9 +62,15 @@
 
     private final Map<String, ServiceDemand> demands = new HashMap<>();
     private final Map<String, Map<String, TargetUse>> peerUses = new HashMap<>();
+    private final RouterOrder order;
+    /** Targets with places that this router's calls have freed. */
+    private final Set<TargetState> freed = new LinkedHashSet<>();
+
     private final BiConsumer<String, String> placeLeft;
 
-    private Placement(String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
+    private Placement(
+            String router, String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
+        this.order = new RouterOrder(router);
         this.dataCentre = dataCentre;
         this.settings = settings;
         this.placeLeft = placeLeft;
@@ -71,17 +78,18 @@
 
     /** Creates a placement without targets and without peers, for a router in {@code dataCentre}. */
     public static Placement create(String dataCentre) {
-        return create(dataCentre, PlacementSettings.defaults(), (peer, target) -> {});
+        return create("", dataCentre, PlacementSettings.defaults(), (peer, target) -> {});
     }
 
     /**
      * Creates a placement without targets.
      *
+     * @param router the router's id, as its peers know it
      * @param placeLeft told when a place is left to a peer: the peer's id and the target's incarnation
      */
     public static Placement create(
-            String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
-        return new Placement(dataCentre, settings, placeLeft);
+            String router, String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
+        return new Placement(router, dataCentre, settings, placeLeft);
     }
 
     /** Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one. */
@@ -123,6 +131,7 @@
         incarnations.remove(id);
         if (known != null) {
             known.markGone();
+            order.forget(known.incarnation());
             known.service().targets().remove(known);
             departed.put(known.incarnation(), known);
         }
@@ -138,8 +147,16 @@
         return Optional.ofNullable(targets.get(incarnation));
     }
 
-    /** Takes in what a peer has running, in place of what it said before; empty once it is gone. */
+    /** Forgets a peer that is heard no longer, with what it had running and waiting. */
+    public void peerGone(String peer) {
+        peerUses(peer, Map.of());
+        peerWaiting(peer, Map.of());
+        order.left(peer);
+    }
+
+    /** Takes in what a peer has running, in place of what it said before. */
     public void peerUses(String peer, Map<String, TargetUse> uses) {
+        order.joined(peer);
         Map<String, TargetUse> before = uses.isEmpty() ? peerUses.remove(peer) : peerUses.put(peer, uses);
         if (before != null) {
             Set<String> dropped = new java.util.HashSet<>(before.keySet());
@@ -198,9 +215,41 @@
     public List<Verdict> pump(long nowMs) {
         List<Verdict> out = new ArrayList<>();
         demands.forEach((name, demand) -> pump(services.get(name), demand.waiting(), nowMs, out));
+        demands.forEach((name, demand) -> {
+            if (demand.waiting().isEmpty()) {
+                leaveWhatIsFree(services.get(name), nowMs);
+            }
+        });
         return out;
     }
 
+    /** True when there is something for {@link #pump} to do at once. */
+    public boolean wantsPump(long nowMs) {
+        return !freed.isEmpty()
+                || demands.values().stream()
+                        .anyMatch(d -> !d.waiting().isEmpty()
+                                || d.neediestAbove(Integer.MAX_VALUE, order, nowMs)
+                                        .isPresent());
+    }
+
+    /** Leaves places that no call here waits for to peers whose calls do, and lets go of the rest. */
+    private void leaveWhatIsFree(ServiceTargets service, long nowMs) {
+        if (service == null) {
+            return;
+        }
+        Optional<TargetState> free = service.fastest(t -> mayTake(t, nowMs), nowMs);
+        while (free.isPresent() && leaveToPeer(service.name(), Integer.MAX_VALUE, free.get(), nowMs)) {
+            free = service.fastest(t -> mayTake(t, nowMs), nowMs);
+        }
+        freed.removeIf(t -> {
+            boolean letGo = t.service() == service;
+            if (letGo) {
+                t.letGo();
+            }
+            return letGo;
+        });
+    }
+
     private void pump(ServiceTargets service, WaitingCalls queue, long nowMs, List<Verdict> out) {
         for (Call call : queue.take(c -> nowMs >= c.holdUntilMs())) {
             out.add(refuse(call, Verdict.Reason.WAITED, expectedWait(call, call.rank(), nowMs), nowMs));
@@ -222,13 +271,25 @@
 
     /** The best free place for a call, once what is free has been left to peers whose calls are more urgent. */
     private Optional<TargetState> place(ServiceTargets service, Call call, int rank, long nowMs) {
-        Optional<TargetState> free = service.best(call, nowMs);
+        Optional<TargetState> free = service.best(call, t -> mayTake(t, nowMs), nowMs);
         while (free.isPresent() && leaveToPeer(service.name(), rank, free.get(), nowMs)) {
-            free = service.best(call, nowMs);
+            free = service.best(call, t -> mayTake(t, nowMs), nowMs);
         }
         return free;
     }
 
+    /**
+     * Whether a free place at a target is this router's to take. All routers see the same places free and hear of
+     * each other's calls up to 0.4 s late: taken by each for itself, 31 of them put 50 calls on an engine of 9 places.
+     * Of a target's free places a router takes those that its own calls freed, those left to it, and of the others one
+     * if its turn is among the first of them. Together with leaving places in turn it takes the worth earned on the
+     * simulated fleet (31 routers, 39 engines, 3 seeds) from 50.0 to 59.5 % in an overload and from 52.5 to 61.2 %
+     * where a quarter of the engines is lost; with 4 routers it changes nothing that can be told from chance.
+     */
+    private boolean mayTake(TargetState target, long nowMs) {
+        return target.hasPlaceOfOurs(nowMs) || order.before(target.incarnation()) < target.freeSlots(nowMs);
+    }
+
     /**
      * Routers see each other's calls late, so that a place that falls free is taken by the router whose call
      * ended there, whatever waits elsewhere. It is kept free for the peer that needs it most instead.
@@ -237,7 +298,7 @@
         if (!settings.handOver()) {
             return false;
         }
-        Optional<ServiceDemand.Neediest> need = demand(service).neediestAbove(rank, nowMs);
+        Optional<ServiceDemand.Neediest> need = demand(service).neediestAbove(rank, order, nowMs);
         if (need.isEmpty()) {
             return false;
         }
@@ -273,6 +334,7 @@
             target.prefilled(call);
         }
         target.ended();
+        freed.add(target);
         demand(call.service()).placeFreed(nowMs);
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -55,12 +55,15 @@
         }
     }
 
-    /** The peer with the most urgent call above {@code rank} that no place has been left to. */
-    Optional<Neediest> neediestAbove(int rank, long nowMs) {
+    /**
+     * The peer with the most urgent call above {@code rank} that a place is to be left to. Every router sees the same
+     * calls wait: of a peer's five, the five that come first in the order for it leave it one each, or all would.
+     */
+    Optional<Neediest> neediestAbove(int rank, RouterOrder order, long nowMs) {
         Neediest need = null;
         for (Map.Entry<String, PeerDemand> e : peers.entrySet()) {
             PeerDemand d = e.getValue();
-            if (d.unservedAbove(rank, nowMs) > 0
+            if (d.unservedAbove(rank, nowMs) > order.before(e.getKey())
                     && (need == null || d.firstRank() < need.demand().firstRank())) {
                 need = new Neediest(e.getKey(), d);
             }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** The targets of one service, and what is lately true of all of them together. */
 final class ServiceTargets {
@@ -73,14 +74,18 @@
         return plainMs;
     }
 
-    /** The target where a call's answer is expected to end soonest, the way there counted in. */
-    Optional<TargetState> best(Call call, long nowMs) {
+    /**
+     * The target where a call's answer is expected to end soonest, the way there counted in.
+     *
+     * @param ours which of the targets with a free place this router may take one of
+     */
+    Optional<TargetState> best(Call call, Predicate<TargetState> ours, long nowMs) {
         TargetState best = null;
         double bestCost = Double.MAX_VALUE;
         double meanFailures = meanFailureRate();
         int mayBeSetAside = (int) (targets.size() * SET_ASIDE_PART);
         for (TargetState t : targets) {
-            if (!t.hasRoom(nowMs) || call.avoid().contains(t.incarnation())) {
+            if (!t.hasRoom(nowMs) || call.avoid().contains(t.incarnation()) || !ours.test(t)) {
                 continue;
             }
             double cost = cost(call, t);
@@ -95,6 +100,17 @@
         return Optional.ofNullable(best);
     }
 
+    /** The fastest target with a free place of ours. */
+    Optional<TargetState> fastest(Predicate<TargetState> ours, long nowMs) {
+        TargetState fastest = null;
+        for (TargetState t : targets) {
+            if ((fastest == null || t.gapMs() < fastest.gapMs()) && t.hasRoom(nowMs) && ours.test(t)) {
+                fastest = t;
+            }
+        }
+        return Optional.ofNullable(fastest);
+    }
+
     private double cost(Call call, TargetState t) {
         if (!learnedPace) {
             return t.calls();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -30,6 +30,8 @@
     private long peerPrefillTokens;
     private final Deque<Long> leftToPeersUntilMs = new ArrayDeque<>();
     private final Deque<Long> leftToUsUntilMs = new ArrayDeque<>();
+    /** Places that this router's calls have freed and that it has neither used again nor left to anyone. */
+    private int freedHere;
 
     TargetState(ServiceTargets service, Target info) {
         this.service = service;
@@ -68,6 +70,7 @@
     /** Keeps a place free for a peer for a while. */
     void leaveToPeer(long untilMs) {
         leftToPeersUntilMs.add(untilMs);
+        freedHere = Math.max(0, freedHere - 1);
     }
 
     /** Notes a place that a peer keeps free for this router for a while. */
@@ -115,7 +118,7 @@
     }
 
     /** Places free for this router: those a peer leaves to it count as taken in what the peer says. */
-    private int freeSlots(long nowMs) {
+    int freeSlots(long nowMs) {
         int leftToUs = current(leftToUsUntilMs, nowMs);
         return info.slots() - calls() - current(leftToPeersUntilMs, nowMs) + leftToUs;
     }
@@ -150,6 +153,7 @@
     /** Notes that a call goes there. */
     void started(Call call) {
         ownCalls++;
+        freedHere = Math.max(0, freedHere - 1);
         leftToUsUntilMs.poll();
         ownPrefillTokens += call.promptTokens();
     }
@@ -161,6 +165,17 @@
 
     void ended() {
         ownCalls--;
+        freedHere++;
+    }
+
+    /** True while a place there has been freed by this router's calls, or is left to it by a peer. */
+    boolean hasPlaceOfOurs(long nowMs) {
+        return freedHere > 0 || current(leftToUsUntilMs, nowMs) > 0;
+    }
+
+    /** Lets go of the places that its calls have freed: they are anyone's. */
+    void letGo() {
+        freedHere = 0;
     }
 
     TargetHealth health() {
@@ -181,6 +196,11 @@
         }
     }
 
+    /** Time between two events of a stream there, as learned. */
+    double gapMs() {
+        return gapMs.valueMs();
+    }
+
     /** Learns from the time between two events of a stream. */
     public void learnGap(double gap) {
         gapMs.sample(gap);
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ManyRoutersTest.java
@@ -0,0 +1,126 @@
+package org.onyxhinge.core.place;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * 31 routers, as the users' grown sites have, that all see the same of one target between two of their messages: what
+ * one of them does then, the others cannot know.
+ */
+class ManyRoutersTest {
+
+    private static final String SERVICE = "writers";
+    private static final int ROUTERS = 31;
+    private static final int SLOTS = 9;
+    private static final int FREE = 2;
+
+    private final List<Placement> routers = new ArrayList<>();
+    private final List<String> left = new ArrayList<>();
+
+    private static String id(int router) {
+        return "router-" + router;
+    }
+
+    private static Call call(int rank) {
+        return Call.of(SERVICE, 0)
+                .rank(rank, false)
+                .times(400, 1_000)
+                .work(600, 40)
+                .build();
+    }
+
+    /** Each router but the first runs nothing; the first has all places but the free ones. */
+    @BeforeEach
+    void allButTwoPlacesAreTaken() {
+        for (int i = 0; i < ROUTERS; i++) {
+            Placement p = Placement.create(
+                    id(i), "here", PlacementSettings.defaults(), (peer, target) -> left.add(peer + " " + target));
+            p.targetSeen(new Target("a", 0, SERVICE, "10.0.0.1", 80, "here", SLOTS, true, 0));
+            for (int peer = 0; peer < ROUTERS; peer++) {
+                if (peer != i) {
+                    p.peerUses(id(peer), peer == 0 ? Map.of("a", new TargetUse(SLOTS - FREE, 0)) : Map.of());
+                }
+            }
+            routers.add(p);
+        }
+    }
+
+    private static boolean sends(Verdict verdict) {
+        return verdict instanceof Verdict.Send;
+    }
+
+    private List<Placement> others() {
+        return routers.subList(1, ROUTERS);
+    }
+
+    private void waits(int router, int rank, int calls) {
+        IntStream.range(0, ROUTERS)
+                .filter(i -> i != router)
+                .forEach(i -> routers.get(i).peerWaiting(id(router), Map.of(SERVICE, Map.of(rank, calls))));
+    }
+
+    @Nested
+    class EachHasACall {
+
+        @Test
+        void noMoreAreSentThanThereArePlaces() {
+            long sent =
+                    others().stream().filter(p -> sends(p.submit(call(1), 0))).count();
+            assertThat(sent <= FREE, is(true));
+        }
+
+        @Test
+        void aRouterThatHearsNobodyTakesAnyPlace() {
+            Placement alone = routers.get(7);
+            IntStream.range(0, ROUTERS).filter(i -> i != 7).forEach(i -> alone.peerGone(id(i)));
+            assertThat(sends(alone.submit(call(1), 0)), is(true));
+        }
+    }
+
+    @Nested
+    class OneHasCallsThatWait {
+
+        @Test
+        void noMorePlacesAreLeftToItThanItHasCalls() {
+            waits(0, 1, 1);
+            others().forEach(p -> p.pump(10));
+            assertThat(left.size() <= 1, is(true));
+        }
+
+        @Test
+        void aPlaceThatFallsFreeWhereNobodyWaitsIsLeftToIt() {
+            int first = IntStream.range(1, ROUTERS)
+                    .filter(i -> isFirstFor(i, id(0)))
+                    .findFirst()
+                    .orElseThrow();
+            Placement p = routers.get(first);
+            p.peerUses(id(0), Map.of("a", new TargetUse(SLOTS - 1, 0)));
+            p.placeOffered("a", 0);
+            Verdict.Send running = (Verdict.Send) p.submit(call(1), 0);
+            p.peerWaiting(id(0), Map.of(SERVICE, Map.of(1, 1)));
+            assertThat(left, is(empty()));
+            p.ended(running.call(), running.target(), false, 10);
+            assertThat(p.wantsPump(10), is(true));
+            p.pump(10);
+            assertThat(left, hasSize(1));
+            assertThat(left.getFirst(), is(id(0) + " a"));
+        }
+
+        private boolean isFirstFor(int router, String peer) {
+            RouterOrder order = new RouterOrder(id(router));
+            IntStream.range(0, ROUTERS).filter(i -> i != router).forEach(i -> order.joined(id(i)));
+            return order.before(peer) == 0;
+        }
+    }
+}
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -320,8 +320,8 @@
     class PeersInGreaterNeed {
 
         private final List<String> left = new ArrayList<>();
-        private final Placement here =
-                Placement.create("here", PlacementSettings.defaults(), (peer, target) -> left.add(peer + " " + target));
+        private final Placement here = Placement.create(
+                "self", "here", PlacementSettings.defaults(), (peer, target) -> left.add(peer + " " + target));
 
         private List<Verdict.Send> full() {
             here.targetSeen(target("a", "here", true));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -80,7 +80,8 @@
         this.protocol = protocol;
         this.freshness = freshness;
         this.metrics = ForwardingMetrics.create(m);
-        this.placement = Placement.create(settings.dataCentre(), PlacementSettings.defaults(), this::leavePlace);
+        this.placement = Placement.create(
+                settings.routerId(), settings.dataCentre(), PlacementSettings.defaults(), this::leavePlace);
         this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/HeardRouters.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/HeardRouters.java
@@ -21,6 +21,7 @@
     private static final class Heard {
         private long life;
         private long atMs;
+        private boolean forgotten;
         private final Map<String, TargetUse> uses = new HashMap<>();
 
         boolean speaks(long nowMs) {
@@ -36,6 +37,7 @@
         }
         h.life = usage.life();
         h.atMs = nowMs;
+        h.forgotten = false;
         usage.uses().forEach((id, use) -> {
             if (use.calls() == 0) {
                 h.uses.remove(id);
@@ -50,18 +52,19 @@
     /** Forgets what routers that have fallen silent had running, and tells of each as of one that uses nothing. */
     void forgetSilent(long nowMs, Side side) {
         routers.forEach((id, h) -> {
-            if (!h.speaks(nowMs) && !h.uses.isEmpty()) {
+            if (!h.speaks(nowMs) && !h.forgotten) {
                 LOG.infof("router silent router=%s silentMs=%d", id, nowMs - h.atMs);
+                h.forgotten = true;
                 h.uses.clear();
-                side.usageHeard(id, new PeerMessage.Usage(id, h.life, true, Map.of(), Map.of(), Map.of(), Map.of()));
+                side.routerSilent(id);
             }
         });
     }
 
-    /** Hears a router's whole current use. */
+    /** Hears of a router that says nothing any more. */
     @FunctionalInterface
     interface Side {
-        void usageHeard(String routerId, PeerMessage.Usage usage);
+        void routerSilent(String routerId);
     }
 
     /** True while a router speaks. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
@@ -86,6 +86,12 @@
         changed.run();
     }
 
+    @Override
+    public void routerSilent(String routerId) {
+        placement.peerGone(routerId);
+        changed.run();
+    }
+
     @Override
     public void placeOffered(String incarnation) {
         metrics.event("places.offered");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -72,6 +72,9 @@
         /** Hears a router's whole current use. */
         void usageHeard(String routerId, PeerMessage.Usage usage);
 
+        /** Hears that a router has fallen silent: what it had running is forgotten, its part of the quotas is not. */
+        void routerSilent(String routerId);
+
         /** Hears that a router leaves a place at a target to this one. */
         void placeOffered(String targetId);
     }
@@ -189,7 +192,7 @@
 
     private void beat() {
         long nowMs = MonotonicClock.nowMs();
-        heard.forgetSilent(nowMs, side::usageHeard);
+        heard.forgetSilent(nowMs, side::routerSilent);
         dropVanished(nowMs);
         if (links.isEmpty()) {
             return;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
@@ -54,7 +54,7 @@
 
     /** Looks for room once the current event has been handled. */
     void pumpSoon() {
-        if (!pumping && !waiting.isEmpty()) {
+        if (!pumping && placement.wantsPump(MonotonicClock.nowMs())) {
             pumping = true;
             context.runOnContext(v -> {
                 pumping = false;
@@ -64,9 +64,6 @@
     }
 
     private void pump() {
-        if (waiting.isEmpty()) {
-            return;
-        }
         for (Verdict verdict : placement.pump(MonotonicClock.nowMs())) {
             Exchange x = waiting.get(verdict.call());
             if (x != null) {
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -68,6 +68,11 @@
             heard.put(routerId, usage);
         }
 
+        @Override
+        public void routerSilent(String routerId) {
+            heard.remove(routerId);
+        }
+
         @Override
         public void placeOffered(String targetId) {
             offered.add(targetId);
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetSpec.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetSpec.java
@@ -82,6 +82,11 @@
                 s.number(section, "late_worth_percent", 30, 0, 1_000_000) / 100.0);
     }
 
+    /** The same site with another number of routers. */
+    FleetSpec withRouters(int number) {
+        return new FleetSpec(dataCentres, number, engines, engine, unlikePercent, kinds, workspaces);
+    }
+
     /** The engine at place {@code i}: speeds are spread evenly between the fastest and the slowest. */
     EngineSpec engineAt(int i) {
         double place = engines == 1 ? 0 : 2.0 * i / (engines - 1) - 1;
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
@@ -67,7 +67,7 @@
         this.id = id;
         this.dataCentre = dataCentre;
         this.settings = settings;
-        this.placement = Placement.create(dataCentre, settings, placeLeft);
+        this.placement = Placement.create(id, dataCentre, settings, placeLeft);
         all.forEach(e -> {
             engines.put(e.target().id(), e);
             placement.targetSeen(e.target());
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/FleetSimulationTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/FleetSimulationTest.java
@@ -26,7 +26,11 @@
     private static final List<String> SITES = List.of("kingston", "postvirki");
 
     private static FleetSpec site(String name) {
-        return Settings.load(Path.of("..", "examples", name, "fleet.ini"))
+        return site(name, "fleet.ini");
+    }
+
+    private static FleetSpec site(String name, String file) {
+        return Settings.load(Path.of("..", "examples", name, file))
                 .flatMap(FleetSpec::read)
                 .getOrElseThrow(e -> new AssertionError(e.getMessage()));
     }
@@ -109,6 +113,34 @@
         }
     }
 
+    /** The grown site of the users: 39 engines before few and before many routers, and more load than they carry. */
+    @Nested
+    class SizeOfTheFleet {
+
+        /** Routers know less of each other the more they are; that is to cost no more than a tenth. */
+        private static final double LEAST_OF_FEW = 0.9;
+
+        private double worth(int routers, LoadPattern pattern) {
+            FleetSpec site = site("postvirki", "fleet-grown.ini").withRouters(routers);
+            return FleetSummary.of(LongStream.rangeClosed(1, SEEDS / 2)
+                            .parallel()
+                            .mapToObj(seed -> FleetSimulation.play(site, policy("landed"), pattern, seed))
+                            .toList())
+                    .worth();
+        }
+
+        @Test
+        void manyRoutersEarnNearlyAsMuchAsFewInAnOverload() {
+            assertThat(worth(31, LoadPattern.OVERLOAD), greaterThan(LEAST_OF_FEW * worth(4, LoadPattern.OVERLOAD)));
+        }
+
+        @Test
+        void manyRoutersEarnNearlyAsMuchAsFewBesideLostEngines() {
+            assertThat(
+                    worth(31, LoadPattern.ENGINE_LOSS), greaterThan(LEAST_OF_FEW * worth(4, LoadPattern.ENGINE_LOSS)));
+        }
+    }
+
     @Nested
     class SiteFiles {
 
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/LastKindShutOutTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/LastKindShutOutTest.java
@@ -18,10 +18,10 @@
  * served to 14 % where all were to 63 %, and for half a minute not at all, though its calls take a place for 0.2 s and
  * those of the other kinds for a second. Nearly all were refused as they arrived.
  *
- * <p>It came about in quiet seconds as well as under faults, without a quota and with processor time to spare. The cause
- * is the strict order of ranks: while the more urgent ranks alone want every place that falls free, the next one is left
- * none, for as long as that lasts. What proved it: the same in virtual time, where there are no faults, no quotas and no
- * processor time, with 4 routers (2.8 % answered of the last kind, 33.5 % of all) as with 31 (0.6 and 32.3 %).
+ * <p>It came about in quiet seconds as well as under faults, without a quota and with processor time to spare. The
+ * left none, for as long as that lasts. What proved it: the same in virtual time, where there are no faults, no quotas and
+ * left none, for as long as that lasts. What proved it: the same in virtual time, where there are no faults, no quotas
+ * and no processor time, with 4 routers (2.8 % answered of the last kind, 33.5 % of all) as with 31 (0.6 and 32.3 %).
  */
 class LastKindShutOutTest {
 
@@ -31,11 +31,10 @@
     private static final double LEAST_OF_ALL = 0.25;
 
     private static FleetSpec grownSite(int routers) {
-        FleetSpec s = Settings.load(Path.of("..", "examples", "postvirki", "fleet-grown.ini"))
+        return Settings.load(Path.of("..", "examples", "postvirki", "fleet-grown.ini"))
                 .flatMap(FleetSpec::read)
-                .getOrElseThrow(e -> new AssertionError(e.getMessage()));
-        return new FleetSpec(
-                s.dataCentres(), routers, s.engines(), s.engine(), s.unlikePercent(), s.kinds(), s.workspaces());
+                .getOrElseThrow(e -> new AssertionError(e.getMessage()))
+                .withRouters(routers);
     }
 
     private static void noKindIsShutOut(int routers, LoadPattern pattern) {
