--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /**
  * Decides for one router where calls go, which wait and which are refused. Targets run a bounded number
@@ -237,9 +238,9 @@
         if (service == null) {
             return;
         }
-        Optional<TargetState> free = service.fastest(t -> mayTake(t, nowMs), nowMs);
+        Optional<TargetState> free = fastestFree(service, nowMs);
         while (free.isPresent() && leaveToPeer(service.name(), Integer.MAX_VALUE, free.get(), nowMs)) {
-            free = service.fastest(t -> mayTake(t, nowMs), nowMs);
+            free = fastestFree(service, nowMs);
         }
         freed.removeIf(t -> {
             boolean letGo = t.service() == service;
@@ -271,9 +272,12 @@
 
     /** The best free place for a call, once what is free has been left to peers whose calls are more urgent. */
     private Optional<TargetState> place(ServiceTargets service, Call call, int rank, long nowMs) {
-        Optional<TargetState> free = service.best(call, t -> mayTake(t, nowMs), nowMs);
+        long heardAfterMs =
+                PeerCadence.intervalMs(order.others(), demand(service.name()).anyPeerWaits());
+        Predicate<TargetState> ours = t -> mayTake(t, t.lastByteMs(call), heardAfterMs, nowMs);
+        Optional<TargetState> free = service.best(call, ours, nowMs);
         while (free.isPresent() && leaveToPeer(service.name(), rank, free.get(), nowMs)) {
-            free = service.best(call, t -> mayTake(t, nowMs), nowMs);
+            free = service.best(call, ours, nowMs);
         }
         return free;
     }
@@ -285,9 +289,22 @@
      * if its turn is among the first of them. Together with leaving places in turn it takes the worth earned on the
      * simulated fleet (31 routers, 39 engines, 3 seeds) from 50.0 to 59.5 % in an overload and from 52.5 to 61.2 %
      * where a quarter of the engines is lost; with 4 routers it changes nothing that can be told from chance.
+     *
+     * <p>A place serves several calls that are short against the time until routers hear of each other, one after the
+     * other; of 31 routers before 18 places of a plain service half would otherwise have none to take.
+     *
+     * @param callMs how long a call takes there
+     * @param heardAfterMs time until other routers hear of what one does now
      */
-    private boolean mayTake(TargetState target, long nowMs) {
-        return target.hasPlaceOfOurs(nowMs) || order.before(target.incarnation()) < target.freeSlots(nowMs);
+    private boolean mayTake(TargetState target, double callMs, long heardAfterMs, long nowMs) {
+        double callsAPlace = Math.max(1, heardAfterMs / callMs);
+        return target.hasPlaceOfOurs(nowMs)
+                || order.before(target.incarnation()) < target.freeSlots(nowMs) * callsAPlace;
+    }
+
+    /** The fastest target with a free place that is this router's whatever the call. */
+    private Optional<TargetState> fastestFree(ServiceTargets service, long nowMs) {
+        return service.fastest(t -> mayTake(t, Double.MAX_VALUE, 0, nowMs), nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RouterOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RouterOrder.java
@@ -37,6 +37,11 @@
         }
     }
 
+    /** Number of the others. */
+    int others() {
+        return others.size();
+    }
+
     /** How many of the others come before this router for a name; the router of that name itself takes no part. */
     int before(String name) {
         return before.computeIfAbsent(name, n -> {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** True while any peer has calls that wait; it speaks more often then. */
+    boolean anyPeerWaits() {
+        return peers.values().stream().anyMatch(d -> d.waitingUpTo(Integer.MAX_VALUE) > 0);
+    }
+
     /**
      * The peer with the most urgent call above {@code rank} that a place is to be left to. Every router sees the same
      * calls wait: of a peer's five, the five that come first in the order for it leave it one each, or all would.
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ManyRoutersTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ManyRoutersTest.java
@@ -12,6 +12,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -89,6 +90,25 @@
         }
     }
 
+    /** Calls of a plain service end before other routers hear of them: 18 places, 31 routers, 50 ms a call. */
+    @Nested
+    class CallsAreShort {
+
+        private static final String PLAIN = "print-house";
+        private static final int PLAIN_SLOTS = 6;
+
+        @Test
+        void everyRouterHasAPlaceToTake() {
+            for (Placement p : routers) {
+                for (String id : List.of("x", "y", "z")) {
+                    p.targetSeen(new Target(id, 0, PLAIN, "10.0.0.2", 80, "here", PLAIN_SLOTS, true, 0));
+                }
+                Call plain = Call.of(PLAIN, 0).times(200, 800).build();
+                assertThat(p.submit(plain, 0), instanceOf(Verdict.Send.class));
+            }
+        }
+    }
+
     @Nested
     class OneHasCallsThatWait {
 
