Placement: the table of targets stands by itself

The number of routers that an expected wait counts with is that of those heard, also when one has nothing running. No other decision changes.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -43,26 +42,9 @@
      */
     private static final long ESTIMATE_SLACK = 2;
 
-    /** Enough for all targets of a large site to lapse at once; each takes less than a kilobyte. */
-    private static final int DEPARTED_KEPT = 256;
-
-    private final String dataCentre;
     private final PlacementSettings settings;
-    private final Map<String, ServiceTargets> services = new HashMap<>();
-    /** Registered targets by incarnation. */
-    private final Map<String, TargetState> targets = new HashMap<>();
-    /** Incarnation of each registered target by its id. */
-    private final Map<String, String> incarnations = new HashMap<>();
-    /** Targets that were registered before, by incarnation, the one that left last at the end. */
-    private final Map<String, TargetState> departed = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, TargetState> eldest) {
-            return size() > DEPARTED_KEPT;
-        }
-    };
-
+    private final TargetTable targets;
     private final Map<String, ServiceDemand> demands = new HashMap<>();
-    private final Map<String, Map<String, TargetUse>> peerUses = new HashMap<>();
     private final RouterOrder order;
     /** Targets with places that this router's calls have freed. */
     private final Set<TargetState> freed = new LinkedHashSet<>();
@@ -72,8 +54,8 @@
     private Placement(
             String router, String dataCentre, PlacementSettings settings, BiConsumer<String, String> placeLeft) {
         this.order = new RouterOrder(router);
-        this.dataCentre = dataCentre;
         this.settings = settings;
+        this.targets = new TargetTable(dataCentre, settings.learnedPace());
         this.placeLeft = placeLeft;
     }
 
@@ -95,32 +77,7 @@
 
     /** Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one. */
     public void targetSeen(Target info) {
-        TargetState known = targets.get(info.incarnation());
-        if (known != null && known.service().name().equals(info.service())) {
-            known.update(info);
-            return;
-        }
-        targetGone(info.id());
-        TargetState state = Optional.ofNullable(departed.remove(info.incarnation()))
-                .filter(d -> d.service().name().equals(info.service()))
-                .orElseGet(() -> newTarget(info));
-        state.update(info);
-        state.service().targets().add(state);
-        targets.put(state.incarnation(), state);
-        incarnations.put(info.id(), state.incarnation());
-        Map<String, TargetUse> uses = new HashMap<>();
-        peerUses.forEach((peer, all) -> {
-            if (all.containsKey(state.incarnation())) {
-                uses.put(peer, all.get(state.incarnation()));
-            }
-        });
-        state.peerUses(uses);
-    }
-
-    private TargetState newTarget(Target info) {
-        ServiceTargets service = services.computeIfAbsent(
-                info.service(), s -> new ServiceTargets(s, dataCentre, settings.learnedPace()));
-        return new TargetState(service, info);
+        targets.seen(info);
     }
 
     /**
@@ -128,24 +85,17 @@
      * when it is back: a registration can lapse, or be overwritten by mistake, while its target runs.
      */
     public void targetGone(String id) {
-        TargetState known = targets.remove(incarnations.getOrDefault(id, id));
-        incarnations.remove(id);
-        if (known != null) {
-            known.markGone();
-            order.forget(known.incarnation());
-            known.service().targets().remove(known);
-            departed.put(known.incarnation(), known);
-        }
+        targets.gone(id).ifPresent(t -> order.forget(t.incarnation()));
     }
 
     /** Every target, for dumps and for the peers. */
     public Collection<TargetState> targets() {
-        return targets.values();
+        return targets.all();
     }
 
     /** A registered target by its incarnation. */
     public Optional<TargetState> target(String incarnation) {
-        return Optional.ofNullable(targets.get(incarnation));
+        return targets.byIncarnation(incarnation);
     }
 
     /** Forgets a peer that is heard no longer, with what it had running and waiting. */
@@ -158,13 +108,7 @@
     /** Takes in what a peer has running, in place of what it said before. */
     public void peerUses(String peer, Map<String, TargetUse> uses) {
         order.joined(peer);
-        Map<String, TargetUse> before = uses.isEmpty() ? peerUses.remove(peer) : peerUses.put(peer, uses);
-        if (before != null) {
-            Set<String> dropped = new java.util.HashSet<>(before.keySet());
-            dropped.removeAll(uses.keySet());
-            dropped.forEach(id -> target(id).ifPresent(t -> t.peerUse(peer, null)));
-        }
-        uses.forEach((id, use) -> target(id).ifPresent(t -> t.peerUse(peer, use)));
+        targets.peerUses(peer, uses);
     }
 
     /** Takes in how many calls wait at a peer, by service and rank, in place of what it said before. */
@@ -191,7 +135,7 @@
 
     /** A call that arrives: it is sent, waits, or is refused at once. */
     public Verdict submit(Call call, long nowMs) {
-        ServiceTargets service = services.get(call.service());
+        ServiceTargets service = targets.of(call.service());
         if (service == null || !service.anyTakesCalls()) {
             return new Verdict.Refuse(call, Verdict.Reason.NO_TARGET, NO_TARGET_RETRY_MS, Optional.empty());
         }
@@ -215,10 +159,10 @@
     /** Sends what there is room for now and refuses what has waited too long. */
     public List<Verdict> pump(long nowMs) {
         List<Verdict> out = new ArrayList<>();
-        demands.forEach((name, demand) -> pump(services.get(name), demand.waiting(), nowMs, out));
+        demands.forEach((name, demand) -> pump(targets.of(name), demand.waiting(), nowMs, out));
         demands.forEach((name, demand) -> {
             if (demand.waiting().isEmpty()) {
-                leaveWhatIsFree(services.get(name), nowMs);
+                leaveWhatIsFree(targets.of(name), nowMs);
             }
         });
         return out;
@@ -399,8 +343,7 @@
     }
 
     private WaitEstimate expectedWait(Call call, int rank, long nowMs) {
-        return demand(call.service())
-                .expectedWait(call, rank, services.get(call.service()), peerUses.size() + 1, nowMs);
+        return demand(call.service()).expectedWait(call, rank, targets.of(call.service()), order.others() + 1, nowMs);
     }
 
     private Verdict refuse(Call call, Verdict.Reason reason, WaitEstimate estimate, long nowMs) {
