--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallerDeadlines.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallerDeadlines.java
@@ -33,8 +33,12 @@
     /** Sorting is spread over so many calls. */
     private static final int RECKON_EVERY = 8;
 
+    /** Those who were sent away are back by then: they are asked to stay away for 4 s at most. */
+    private static final long CALLERS_BACK_MS = 5_000;
+
     private final Map<String, Recent> all = new HashMap<>();
     private final Map<String, Recent> firstTries = new HashMap<>();
+    private long refusedAtMs = -CALLERS_BACK_MS;
 
     private CallerDeadlines() {}
 
@@ -62,6 +66,23 @@
         }
     }
 
+    /** Notes that a caller is sent away, and may come back. */
+    public void refused(long nowMs) {
+        refusedAtMs = nowMs;
+    }
+
+    /**
+     * Does what {@link #waitedBeforeMs(String, long)} does, and learns from callers that come while nobody is refused.
+     *
+     * @return 0 for a first try
+     */
+    public long waitedBeforeMs(String route, long deadlineMs, long nowMs) {
+        if (nowMs - refusedAtMs > CALLERS_BACK_MS) {
+            firstTry(route, deadlineMs);
+        }
+        return waitedBeforeMs(route, deadlineMs);
+    }
+
     /** Notes the deadline of a caller that asks while nobody is being refused, and so has not come back. */
     public void firstTry(String route, long deadlineMs) {
         firstTries.computeIfAbsent(route, r -> new Recent()).add(deadlineMs);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -74,8 +74,9 @@
     }
 
     private void allowed(CallCheck.Allowed check) {
-        long waitedBeforeMs =
-                forwarder.waitedBeforeMs(check.route().name(), check.head().deadlineMs());
+        long waitedBeforeMs = forwarder
+                .deadlines()
+                .waitedBeforeMs(check.route().name(), check.head().deadlineMs(), MonotonicClock.nowMs());
         plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
         timerId = forwarder.vertx().setTimer(Math.max(1, plan.leftMs()), t -> timeIsUp());
         forwarder.intake().offer(this, plan);
@@ -360,7 +361,7 @@
 
     private void answerRefused(int status, String why, long retryAfterMs) {
         forwarder.metrics().event("refused." + why);
-        forwarder.refused();
+        forwarder.deadlines().refused(MonotonicClock.nowMs());
         caller.refuse(status, why, retryAfterMs);
         end("refused", why);
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -41,9 +41,6 @@
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
     private static final long SWEEP_MS = 100;
-    /** Those who were sent away are back by then: they are asked to stay away for 4 s at most. */
-    private static final long CALLERS_BACK_MS = 5_000;
-
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 1_024;
     /** A starting router has its configuration within this, or its store is away. */
@@ -69,7 +66,6 @@
     private final PeersSide peersSide;
     private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
-    private long refusedAtMs = -CALLERS_BACK_MS;
     private Context context;
     private Intake intake;
     private WaitingExchanges waiting;
@@ -375,17 +371,8 @@
         return lengths;
     }
 
-    /** How long a caller with a deadline has probably waited since it first asked. */
-    long waitedBeforeMs(String route, long deadlineMs) {
-        if (MonotonicClock.nowMs() - refusedAtMs > CALLERS_BACK_MS) {
-            deadlines.firstTry(route, deadlineMs);
-        }
-        return deadlines.waitedBeforeMs(route, deadlineMs);
-    }
-
-    /** Notes that a caller is sent away, and may come back. */
-    void refused() {
-        refusedAtMs = MonotonicClock.nowMs();
+    CallerDeadlines deadlines() {
+        return deadlines;
     }
 
     TargetConnections connections() {
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
@@ -26,9 +26,6 @@
 
     private static final double PUMP_MS = 10;
 
-    /** As in the router: those who were sent away are back by then. */
-    private static final double CALLERS_BACK_MS = 5_000;
-
     private final VirtualTime time;
     private final String id;
     private final String dataCentre;
@@ -37,7 +34,6 @@
     private final Map<String, SimEngine> engines = new HashMap<>();
     private final AnswerLengths lengths = new AnswerLengths();
     private final CallerDeadlines deadlines = CallerDeadlines.create();
-    private double refusedAtMs = -CALLERS_BACK_MS;
     private final Map<Call, SimTry> waiting = new IdentityHashMap<>();
     private final Map<SimTry, Flight> flights = new IdentityHashMap<>();
     private final Map<SimTry, Call> calls = new IdentityHashMap<>();
@@ -115,10 +111,7 @@
     @Override
     public void ask(SimTry t) {
         RequestKind kind = t.kind();
-        if (time.nowMs() - refusedAtMs > CALLERS_BACK_MS) {
-            deadlines.firstTry(kind.name(), t.deadlineMs());
-        }
-        long waitedMs = deadlines.waitedBeforeMs(kind.name(), t.deadlineMs());
+        long waitedMs = deadlines.waitedBeforeMs(kind.name(), t.deadlineMs(), time.wholeMs());
         times.put(
                 t,
                 CallTimes.of(
@@ -150,7 +143,7 @@
                 // It stays in the map of those that wait.
             }
             case Verdict.Refuse r -> {
-                refusedAtMs = time.nowMs();
+                deadlines.refused(time.wholeMs());
                 SimTry t = waiting.remove(r.call());
                 calls.remove(t);
                 times.remove(t);
