--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -72,6 +72,7 @@
     private RouterPeers peers;
     private HttpServer server;
     private volatile ForwardingConfig config;
+    private boolean keysBelieved;
 
     private Forwarder(
             Vertx vertx, ForwardingSettings settings, CallProtocol protocol, Freshness freshness, MetricRegistry m) {
@@ -151,15 +152,17 @@
 
     /** Puts a newer configuration in force; calls that came before the first one are looked at now. */
     public void configure(ForwardingConfig newer) {
+        long readAtMs = MonotonicClock.nowMs();
         context.runOnContext(v -> {
             ForwardingConfig before = config;
             config = newer;
             LOG.infof(
-                    "config in force version=%d before=%d routes=%d early=%d",
+                    "config in force version=%d before=%d routes=%d early=%d waitedMs=%d",
                     newer.version(),
                     before == null ? -1 : before.version(),
                     newer.routes().size(),
-                    early.size());
+                    early.size(),
+                    MonotonicClock.nowMs() - readAtMs);
             peersSide.configured(newer);
             List<Exchange> held = List.copyOf(early);
             early.clear();
@@ -301,6 +304,7 @@
 
     private void sweep() {
         long nowMs = MonotonicClock.nowMs();
+        logKeysBelieved();
         List<Attempt> silent = new ArrayList<>();
         for (Attempt a : attempts) {
             if (Silence.tooLong(a, placement, nowMs)) {
@@ -320,6 +324,14 @@
         }
     }
 
+    private void logKeysBelieved() {
+        boolean now = freshness.holds();
+        if (now != keysBelieved) {
+            keysBelieved = now;
+            LOG.infof("API keys %s proofAgeMs=%d", now ? "believed" : "no longer believed", freshness.ageMs());
+        }
+    }
+
     /** Most connections this router may have to one target of a service: its part of the target's cap. */
     int mostConnections(ForwardingConfig inForce, String service) {
         int cap = inForce.service(service).map(TargetService::maxConnections).orElse(1);
