A call is never checked by one configuration under the proof of another

What callers saw: a request with an API key that had been taken away more than 5 s before was served. Cause: what the store answers is read on the control thread. The new configuration was posted to the traffic thread, while the proof that it is the newest took effect at once for both. While the traffic thread was behind (a VM short of processor time, a burst), calls were checked by the old configuration under the new proof; a call whose head was being read at that moment took the old one and asked for the proof afterwards. Class: check and use of two values that belong together. Change: a configuration and the time of its confirmation are one immutable value (ConfirmedConfig), replaced on the thread that reads the store, configuration first. So a newer configuration is in force at once, also for calls that wait to be read, and its proof never counts for an older one. The line of a call tells the age of the proof when it was checked. Test: RevokedKeyTest holds the traffic thread while a call's head is read; before: 200 and run by the target.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallCheck.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallCheck.java
@@ -51,7 +51,8 @@
 
     /** Checks a request's head. */
     static CallCheck of(
-            HttpServerRequest request, CallProtocol protocol, ForwardingConfig config, Freshness freshness) {
+            HttpServerRequest request, CallProtocol protocol, ConfirmedConfig inForce, Freshness freshness) {
+        ForwardingConfig config = inForce.config();
         var read = protocol.readCall(request);
         if (read.isLeft()) {
             return new Wrong(null, 400, "malformed", read.getLeft());
@@ -70,7 +71,7 @@
         if (match.get().keyless()) {
             return new Allowed(head, config, match.get(), Optional.empty());
         }
-        if (!freshness.holds()) {
+        if (!freshness.holds(inForce.confirmedAtMs())) {
             return new NotHere(head, "no_fresh_proof");
         }
         Optional<WorkspaceAccess> workspace = head.apiKey().flatMap(config::workspaceOfKey);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -18,6 +18,9 @@
     /** Calls at the target when it was last sent there, itself included, as far as was known. */
     int targetCalls;
 
+    /** How long ago the configuration it was checked by had been confirmed; -1 when it was not checked. */
+    long proofAgeMs = -1;
+
     long sentAfterMs = -1;
     long firstByteMs = -1;
     long longestGapMs;
@@ -95,7 +98,7 @@
                 longestGapMs,
                 tookMs,
                 plan == null ? -1 : plan.config().version(),
-                forwarder.freshness().ageMs(),
+                proofAgeMs,
                 troubles);
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -12,7 +12,6 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.route.CallKind;
-import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -61,12 +60,13 @@
             refuse("leaving", CallerSide.ELSEWHERE_RETRY_MS);
             return;
         }
-        ForwardingConfig config = forwarder.config();
-        if (config == null) {
+        Optional<ConfirmedConfig> inForce = forwarder.inForce();
+        if (inForce.isEmpty()) {
             forwarder.holdEarly(this);
             return;
         }
-        CallCheck result = CallCheck.of(request, forwarder.protocol(), config, forwarder.freshness());
+        record.proofAgeMs = forwarder.freshness().ageMs(inForce.get().confirmedAtMs());
+        CallCheck result = CallCheck.of(request, forwarder.protocol(), inForce.get(), forwarder.freshness());
         record.requestId = result.head() == null ? "" : result.head().requestId();
         switch (result) {
             case CallCheck.Allowed a -> allowed(a);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -71,7 +71,9 @@
     private WaitingExchanges waiting;
     private RouterPeers peers;
     private HttpServer server;
-    private volatile ForwardingConfig config;
+    /** Null before the first; replaced as a whole, by any thread. */
+    private volatile ConfirmedConfig inForce;
+
     private boolean keysBelieved;
 
     private Forwarder(
@@ -150,19 +152,18 @@
         callers.freed(connection);
     }
 
-    /** Puts a newer configuration in force; calls that came before the first one are looked at now. */
-    public void configure(ForwardingConfig newer) {
-        long readAtMs = MonotonicClock.nowMs();
+    /**
+     * Puts a newer configuration in force. Calls are checked by it at once, also those that wait to be read; calls that
+     * came before the first one are looked at now.
+     */
+    public synchronized void configure(ForwardingConfig newer) {
+        LOG.infof(
+                "config in force version=%d before=%d routes=%d",
+                newer.version(),
+                inForce == null ? -1 : inForce.config().version(),
+                newer.routes().size());
+        inForce = ConfirmedConfig.of(newer, inForce);
         context.runOnContext(v -> {
-            ForwardingConfig before = config;
-            config = newer;
-            LOG.infof(
-                    "config in force version=%d before=%d routes=%d early=%d waitedMs=%d",
-                    newer.version(),
-                    before == null ? -1 : before.version(),
-                    newer.routes().size(),
-                    early.size(),
-                    MonotonicClock.nowMs() - readAtMs);
             peersSide.configured(newer);
             List<Exchange> held = List.copyOf(early);
             early.clear();
@@ -170,6 +171,17 @@
         });
     }
 
+    /**
+     * Notes that the store has confirmed that the configuration in force is the newest.
+     *
+     * @param askedAtMs when the read that confirmed it was sent, as {@link Freshness#stampMs} tells the time
+     */
+    public synchronized void confirmed(long askedAtMs) {
+        if (inForce != null) {
+            inForce = inForce.confirmed(askedAtMs);
+        }
+    }
+
     /** Holds a call that came before the first configuration, for a moment. */
     void holdEarly(Exchange exchange) {
         early.add(exchange);
@@ -240,7 +252,15 @@
 
     /** True when callers' calls can be served. */
     public boolean ready() {
-        return config != null && !stop.underWay() && freshness.holds();
+        return keysBelieved(inForce) && !stop.underWay();
+    }
+
+    private boolean keysBelieved(ConfirmedConfig confirmed) {
+        return confirmed != null && freshness.holds(confirmed.confirmedAtMs());
+    }
+
+    private long proofAgeMs(ConfirmedConfig confirmed) {
+        return confirmed == null ? -1 : freshness.ageMs(confirmed.confirmedAtMs());
     }
 
     PlannedStop stop() {
@@ -263,10 +283,17 @@
     /** State for the dump. */
     public Future<JsonObject> dump() {
         Promise<JsonObject> out = Promise.promise();
-        context.runOnContext(v -> out.complete(new JsonObject()
+        context.runOnContext(v -> out.complete(dump(inForce)));
+        return out.future();
+    }
+
+    private JsonObject dump(ConfirmedConfig confirmed) {
+        return new JsonObject()
                 .put("router", settings.routerId())
-                .put("configVersion", config == null ? -1 : config.version())
-                .put("proofAgeMs", freshness.ageMs())
+                .put(
+                        "configVersion",
+                        confirmed == null ? -1 : confirmed.config().version())
+                .put("proofAgeMs", proofAgeMs(confirmed))
                 .put("draining", stop.underWay())
                 .put("exchanges", exchanges.size())
                 .put("attempts", attempts.size())
@@ -277,8 +304,7 @@
                 .put("targetConnectionsOpened", connections.opened())
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
                 .put("routersKnown", peers.known())
-                .put("routersHeardPart", peers.heardPart())));
-        return out.future();
+                .put("routersHeardPart", peers.heardPart());
     }
 
     private void usageHeard() {
@@ -319,16 +345,15 @@
         connections.sweep(
                 id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
         quotas.heardPart(peers.heardPart());
-        if (config != null) {
-            callers.closeIdleLongerThan(config.limits().idleTimeoutMs());
-        }
+        inForce().ifPresent(c -> callers.closeIdleLongerThan(c.config().limits().idleTimeoutMs()));
     }
 
     private void logKeysBelieved() {
-        boolean now = freshness.holds();
+        ConfirmedConfig confirmed = inForce;
+        boolean now = keysBelieved(confirmed);
         if (now != keysBelieved) {
             keysBelieved = now;
-            LOG.infof("API keys %s proofAgeMs=%d", now ? "believed" : "no longer believed", freshness.ageMs());
+            LOG.infof("API keys %s proofAgeMs=%d", now ? "believed" : "no longer believed", proofAgeMs(confirmed));
         }
     }
 
@@ -346,8 +371,9 @@
         return SHED_RETRY_MS;
     }
 
-    ForwardingConfig config() {
-        return config;
+    /** What calls are checked by; empty until what peers said before the first configuration has been counted. */
+    Optional<ConfirmedConfig> inForce() {
+        return peersSide.hasConfig() ? Optional.of(inForce) : Optional.empty();
     }
 
     Intake intake() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Freshness.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Freshness.java
@@ -3,12 +3,15 @@
 import org.onyxhinge.wire.SuspendAwareClock;
 
 /**
- * How long ago the store last confirmed that the configuration held here is the newest, counted from
- * when the call that confirmed it was sent. A router that is cut off stops believing API keys before
- * that is older than operators allow for a key taken away. Thread-safe.
+ * For how long API keys are believed after the store has confirmed that the configuration that holds them is the newest,
+ * counted from when the read that confirmed it was sent. A router that is cut off stops believing keys before that is
+ * longer ago than operators allow for a key taken away. Thread-safe.
  */
 public final class Freshness {
 
+    /** Stands for the time of a confirmation that was never given. */
+    static final long NEVER_MS = Long.MIN_VALUE;
+
     /**
      * Watches may trail behind the store by about a second, and the target starts its work a little after
      * this check.
@@ -17,34 +20,28 @@
 
     private final SuspendAwareClock clock = SuspendAwareClock.create();
     private final long limitMs;
-    private volatile long provedAtMs = Long.MIN_VALUE;
 
     private Freshness(long limitMs) {
         this.limitMs = limitMs;
     }
 
-    /** Creates a proof that has not been given; {@code limitMs} 0 means that none is needed. */
+    /** Creates one for operators who allow {@code limitMs} for a key taken away; 0 for no limit. */
     public static Freshness within(long limitMs) {
         return new Freshness(limitMs);
     }
 
-    /** The time to pass to {@link #proved} for a call sent now. */
+    /** The time, for a read sent now. */
     public long stampMs() {
         return clock.nowMs();
     }
 
-    /** Notes an answer of the store to a call sent at {@code stampMs}. */
-    public synchronized void proved(long stampMs) {
-        provedAtMs = Math.max(provedAtMs, stampMs);
-    }
-
-    /** True while API keys may be believed. */
-    public boolean holds() {
-        return limitMs == 0 || provedAtMs != Long.MIN_VALUE && ageMs() < limitMs - MARGIN_MS;
+    /** True while the API keys of a configuration may be believed that was confirmed at {@code confirmedAtMs}. */
+    boolean holds(long confirmedAtMs) {
+        return limitMs == 0 || confirmedAtMs != NEVER_MS && ageMs(confirmedAtMs) < limitMs - MARGIN_MS;
     }
 
-    /** Age of the newest proof; -1 before the first. */
-    public long ageMs() {
-        return provedAtMs == Long.MIN_VALUE ? -1 : clock.nowMs() - provedAtMs;
+    /** Time since a confirmation; -1 before the first. */
+    long ageMs(long confirmedAtMs) {
+        return confirmedAtMs == NEVER_MS ? -1 : clock.nowMs() - confirmedAtMs;
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
@@ -42,6 +42,11 @@
         early.clear();
     }
 
+    /** True once it has a configuration. */
+    boolean hasConfig() {
+        return config != null;
+    }
+
     private void count(PeerMessage.Usage usage) {
         quotas.heard(usage, config::workspace, MonotonicClock.nowMs());
     }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/HopHeadersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/HopHeadersTest.java
@@ -51,17 +51,15 @@
         @Test
         void keysAreNotBelievedBeforeTheStoreHasConfirmedThem() {
             Freshness f = Freshness.within(5_000);
-            assertThat(f.holds(), is(false));
-            f.proved(f.stampMs());
-            assertThat(f.holds(), is(true));
-            assertThat(Freshness.within(0).holds(), is(true));
+            assertThat(f.holds(Freshness.NEVER_MS), is(false));
+            assertThat(f.holds(f.stampMs()), is(true));
+            assertThat(Freshness.within(0).holds(Freshness.NEVER_MS), is(true));
         }
 
         @Test
         void anOldProofDoesNotHold() {
             Freshness f = Freshness.within(5_000);
-            f.proved(f.stampMs() - 3_600);
-            assertThat(f.holds(), is(false));
+            assertThat(f.holds(f.stampMs() - 3_600), is(false));
         }
     }
 }
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
@@ -0,0 +1,138 @@
+package org.onyxhinge.router.forward.file;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.onyxhinge.router.forward.AnswerHead;
+import org.onyxhinge.router.forward.CallHead;
+import org.onyxhinge.router.forward.CallProtocol;
+import org.onyxhinge.router.forward.Forwarder;
+import org.onyxhinge.router.forward.Freshness;
+import org.onyxhinge.router.forward.OutgoingCall;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Ports;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.is;
+
+/** API keys that the operators have taken away. */
+class RevokedKeyTest {
+
+    private static final long TIMEOUT_MS = 20_000;
+
+    /** What the operators allow for a key taken away. */
+    private static final long KEY_LIMIT_MS = 2_000;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final int port = Ports.free();
+    private final AtomicInteger runs = new AtomicInteger();
+    private final SlowProtocol protocol = new SlowProtocol();
+    private final Freshness freshness = Freshness.within(KEY_LIMIT_MS);
+    private final Forwarder forwarder = start();
+
+    /** Holds the traffic thread up while it reads a call's head, as a VM short of processor time does. */
+    private static final class SlowProtocol implements CallProtocol {
+
+        private final OnyxCallProtocol protocol = new OnyxCallProtocol();
+        private final CountDownLatch reading = new CountDownLatch(1);
+        private final CountDownLatch goOn = new CountDownLatch(1);
+
+        @Override
+        public Either<String, CallHead> readCall(HttpServerRequest request) {
+            reading.countDown();
+            RevokedKeyTest.await(goOn);
+            return protocol.readCall(request);
+        }
+
+        @Override
+        public void writeCall(MultiMap callerHeaders, OutgoingCall outgoing, MultiMap out) {
+            protocol.writeCall(callerHeaders, outgoing, out);
+        }
+
+        @Override
+        public AnswerHead readAnswer(int status, MultiMap headers, String requestId) {
+            return protocol.readAnswer(status, headers, requestId);
+        }
+    }
+
+    private Forwarder start() {
+        int targetPort = Launch.await(
+                        vertx.createHttpServer()
+                                .requestHandler(r -> {
+                                    runs.incrementAndGet();
+                                    r.response().end("printed");
+                                })
+                                .listen(0, "127.0.0.1"),
+                        TIMEOUT_MS)
+                .actualPort();
+        ForwardingSetup setup = SmallSite.read(SmallSite.text(port, targetPort, "", ""));
+        Forwarder f = Launch.await(
+                Forwarder.start(Vertx.vertx(), setup.settings(), protocol, freshness, new MetricRegistry()),
+                TIMEOUT_MS);
+        setup.targets().forEach(f::targetSeen);
+        f.configure(setup.config());
+        f.confirmed(freshness.stampMs());
+        return f;
+    }
+
+    private Future<Integer> call() {
+        return vertx.createHttpClient()
+                .request(new RequestOptions()
+                        .setHost("127.0.0.1")
+                        .setPort(port)
+                        .setMethod(HttpMethod.POST)
+                        .setURI("/print/1")
+                        .putHeader("Host", "letters.example")
+                        .putHeader(OnyxCallProtocol.API_KEY, "k1"))
+                .compose(r -> r.send("envelope"))
+                .map(r -> r.statusCode());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat("in time", latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (!condition.getAsBoolean()) {
+            assertThat("in time", System.nanoTime() < endNs, is(true));
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void close() {
+        Launch.await(vertx.close(), TIMEOUT_MS);
+    }
+
+    /** Guards against a key being served past its limit because a newer configuration's proof is held by an older one. */
+    @Test
+    void isNotServedByAConfigurationThatWasReplacedWhileItsCallWaited() {
+        Future<Integer> status = call();
+        await(protocol.reading);
+        await(() -> !forwarder.ready());
+        forwarder.configure(SmallSite.read(SmallSite.text(port, 1, "", "").replace("k1", "k2"))
+                .config());
+        forwarder.confirmed(freshness.stampMs());
+        protocol.goOn.countDown();
+        assertThat(Launch.await(status, TIMEOUT_MS), anyOf(is(401), is(503)));
+        assertThat(runs.get(), is(0));
+    }
+}
