Tests keep the HTTP clients that they use

Seen once: anAnswerThatIsNotWholeProvesNothingAndIsAskedForAgain failed with "Connection was closed" after 0.07 s, and once in the same way a test that was being written. Shown by a probe loop beside 200 collections: a client a probe failed twice out of two ("Connection was closed", "Pool closed"), one client passed twice out of two.

--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -45,6 +46,7 @@
     private static final Tier TIER = new Tier("gold", 0, 5_000, 5_000, 60_000);
 
     private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = vertx.createHttpClient();
     private final RecordingControl control = new RecordingControl();
     private final BlockingQueue<HttpServerRequest> atTarget = new LinkedBlockingQueue<>();
     private final List<String> keysRun = new CopyOnWriteArrayList<>();
@@ -149,9 +151,7 @@
     }
 
     private Flight flight(String key) throws InterruptedException {
-        vertx.createHttpClient()
-                .request(HttpMethod.POST, front.actualPort(), "127.0.0.1", "/")
-                .compose(req -> req.send());
+        client.request(HttpMethod.POST, front.actualPort(), "127.0.0.1", "/").compose(req -> req.send());
         HttpServerRequest caller = take(callers);
         RequestSpec spec = new RequestSpec(
                 "r-" + key, "w", TIER, "print", "print-house", 10, 1, 0, 0, key, true, System.nanoTime() / 1_000_000);
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
@@ -37,6 +38,7 @@
     private static final long KEY_LIMIT_MS = 2_000;
 
     private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = vertx.createHttpClient();
     private final int port = Ports.free();
     private final AtomicInteger runs = new AtomicInteger();
     private final SlowProtocol protocol = new SlowProtocol();
@@ -89,8 +91,7 @@
     }
 
     private Future<Integer> call() {
-        return vertx.createHttpClient()
-                .request(new RequestOptions()
+        return client.request(new RequestOptions()
                         .setHost("127.0.0.1")
                         .setPort(port)
                         .setMethod(HttpMethod.POST)
