Quotas: a call checked by an older configuration does not bring its limit back

Cause: a quota took its limit from the call that it was asked for. A call that waited (for its turn, for its body) while a newer configuration came put the older limit in force again until the next call; a limit that had been lowered refilled at the old rate. Class: an older version held by reference and checked by nothing. Change: a workspace's limit is that of the newest configuration that any of its calls was checked by.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -24,7 +24,7 @@
     private static final double MS_PER_SECOND = 1_000;
 
     private final Map<String, SharedQuota> quotas = new HashMap<>();
-    private final Map<String, WorkspaceAccess> limits = new HashMap<>();
+    private final Map<String, Limit> limits = new HashMap<>();
     /** Which of its starts each router that was heard is in. */
     private final Map<String, Long> lives = new HashMap<>();
 
@@ -56,22 +56,32 @@
      */
     record Exceeded(long units, long waitMs, QuotaState state) {}
 
+    /** A workspace as the configuration {@code version} sets it. */
+    private record Limit(long version, WorkspaceAccess workspace) {}
+
     /** Takes a call's units from its workspace's quota, if it has one; empty when it may go. */
     Optional<Exceeded> take(CallPlan plan, long nowMs) {
         return plan.workspace()
+                .map(w -> newest(plan.config().version(), w))
                 .flatMap(
                         w -> take(w, w.units(plan.head().tokens()), plan.route().priority(), nowMs));
     }
 
+    /** The workspace by the newest configuration that any call so far was checked by. */
+    private WorkspaceAccess newest(long version, WorkspaceAccess workspace) {
+        return limits.merge(
+                        workspace.name(),
+                        new Limit(version, workspace),
+                        (known, seen) -> seen.version() > known.version() ? seen : known)
+                .workspace();
+    }
+
     private Optional<Exceeded> take(WorkspaceAccess workspace, long units, int rank, long nowMs) {
         if (!workspace.limited()) {
             return Optional.empty();
         }
         SharedQuota quota = quotas.computeIfAbsent(workspace.name(), n -> create(workspace, nowMs));
-        WorkspaceAccess before = limits.put(workspace.name(), workspace);
-        if (before != workspace) {
-            quota.limit(workspace.quotaPerSecond(), workspace.quotaBurst());
-        }
+        quota.limit(workspace.quotaPerSecond(), workspace.quotaBurst());
         return quota.tryTake(units, rank, heardPart, nowMs)
                 ? Optional.empty()
                 : Optional.of(new Exceeded(
