--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -231,7 +231,7 @@
             if (tries.mayRepeat(plan, forwarder)) {
                 place();
             } else {
-                noPlace("target_full", forwarder.shedRetryMs());
+                noPlace("target_full", Forwarder.SHED_RETRY_MS);
             }
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -46,7 +46,7 @@
     /** A starting router has its configuration within this, or its store is away. */
     private static final long EARLY_HOLD_MS = 600;
     /** What a target that turned a call away is given to work off its queue. */
-    private static final long SHED_RETRY_MS = 500;
+    static final long SHED_RETRY_MS = 500;
 
     private final Vertx vertx;
     private final ForwardingSettings settings;
@@ -56,6 +56,7 @@
     private final WorkspaceQuotas quotas;
     private final RetryBudget retries;
     private final Freshness freshness;
+    private final ConfigInForce config;
     private final AnswerLengths lengths = new AnswerLengths();
     private final CallerDeadlines deadlines = CallerDeadlines.create();
     private final TargetConnections connections;
@@ -71,10 +72,6 @@
     private WaitingExchanges waiting;
     private RouterPeers peers;
     private HttpServer server;
-    /** Null before the first; replaced as a whole, by any thread. */
-    private volatile ConfirmedConfig inForce;
-
-    private boolean keysBelieved;
 
     private Forwarder(
             Vertx vertx, ForwardingSettings settings, CallProtocol protocol, Freshness freshness, MetricRegistry m) {
@@ -82,6 +79,7 @@
         this.settings = settings;
         this.protocol = protocol;
         this.freshness = freshness;
+        this.config = new ConfigInForce(freshness);
         this.metrics = ForwardingMetrics.create(m);
         this.placement = Placement.create(
                 settings.routerId(), settings.dataCentre(), PlacementSettings.defaults(), this::slotReserved);
@@ -156,13 +154,8 @@
      * Puts a newer configuration in force. Calls are checked by it at once, also those that wait to be read; calls that
      * came before the first one are looked at now.
      */
-    public synchronized void configure(ForwardingConfig newer) {
-        LOG.infof(
-                "config in force version=%d before=%d routes=%d",
-                newer.version(),
-                inForce == null ? -1 : inForce.config().version(),
-                newer.routes().size());
-        inForce = ConfirmedConfig.of(newer, inForce);
+    public void configure(ForwardingConfig newer) {
+        config.replace(newer);
         context.runOnContext(v -> {
             peersSide.configured(newer);
             List<Exchange> held = List.copyOf(early);
@@ -176,10 +169,8 @@
      *
      * @param askedAtMs when the read that confirmed it was sent, as {@link Freshness#stampMs} tells the time
      */
-    public synchronized void confirmed(long askedAtMs) {
-        if (inForce != null) {
-            inForce = inForce.confirmed(askedAtMs);
-        }
+    public void confirmed(long askedAtMs) {
+        config.confirmed(askedAtMs);
     }
 
     /** Holds a call that came before the first configuration, for a moment. */
@@ -252,15 +243,7 @@
 
     /** True when callers' calls can be served. */
     public boolean ready() {
-        return keysBelieved(inForce) && !stop.underWay();
-    }
-
-    private boolean keysBelieved(ConfirmedConfig confirmed) {
-        return confirmed != null && freshness.holds(confirmed.confirmedAtMs());
-    }
-
-    private long proofAgeMs(ConfirmedConfig confirmed) {
-        return confirmed == null ? -1 : freshness.ageMs(confirmed.confirmedAtMs());
+        return config.keysBelieved() && !stop.underWay();
     }
 
     PlannedStop stop() {
@@ -283,17 +266,10 @@
     /** State for the dump. */
     public Future<JsonObject> dump() {
         Promise<JsonObject> out = Promise.promise();
-        context.runOnContext(v -> out.complete(dump(inForce)));
-        return out.future();
-    }
-
-    private JsonObject dump(ConfirmedConfig confirmed) {
-        return new JsonObject()
+        context.runOnContext(v -> out.complete(new JsonObject()
                 .put("router", settings.routerId())
-                .put(
-                        "configVersion",
-                        confirmed == null ? -1 : confirmed.config().version())
-                .put("proofAgeMs", proofAgeMs(confirmed))
+                .put("configVersion", config.version())
+                .put("proofAgeMs", config.proofAgeMs())
                 .put("draining", stop.underWay())
                 .put("exchanges", exchanges.size())
                 .put("attempts", attempts.size())
@@ -304,7 +280,8 @@
                 .put("targetConnectionsOpened", connections.opened())
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
                 .put("routersKnown", peers.known())
-                .put("routersHeardPart", peers.heardPart());
+                .put("routersHeardPart", peers.heardPart())));
+        return out.future();
     }
 
     private void usageHeard() {
@@ -330,7 +307,7 @@
 
     private void sweep() {
         long nowMs = MonotonicClock.nowMs();
-        logKeysBelieved();
+        config.logKeysBelieved();
         List<Attempt> silent = new ArrayList<>();
         for (Attempt a : attempts) {
             if (Silence.tooLong(a, placement, nowMs)) {
@@ -348,15 +325,6 @@
         inForce().ifPresent(c -> callers.closeIdleLongerThan(c.config().limits().idleTimeoutMs()));
     }
 
-    private void logKeysBelieved() {
-        ConfirmedConfig confirmed = inForce;
-        boolean now = keysBelieved(confirmed);
-        if (now != keysBelieved) {
-            keysBelieved = now;
-            LOG.infof("API keys %s proofAgeMs=%d", now ? "believed" : "no longer believed", proofAgeMs(confirmed));
-        }
-    }
-
     /** Most connections this router may have to one target of a service: its part of the target's cap. */
     int mostConnections(ForwardingConfig inForce, String service) {
         int cap = inForce.service(service).map(TargetService::maxConnections).orElse(1);
@@ -367,13 +335,9 @@
         return peers.known();
     }
 
-    long shedRetryMs() {
-        return SHED_RETRY_MS;
-    }
-
     /** What calls are checked by; empty until what peers said before the first configuration has been counted. */
     Optional<ConfirmedConfig> inForce() {
-        return peersSide.hasConfig() ? Optional.of(inForce) : Optional.empty();
+        return config.current().filter(c -> peersSide.hasConfig());
     }
 
     Intake intake() {
