--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigInForce.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigInForce.java
@@ -6,8 +6,8 @@
 import org.onyxhinge.core.route.ForwardingConfig;
 
 /**
- * The configuration that calls are checked by, and whether its API keys are believed. The thread that reads the store replaces
- * it; any thread may read it.
+ * The configuration that calls are checked by, and whether its API keys are believed. The thread that reads the store
+ * replaces it; any thread may read it.
  */
 final class ConfigInForce {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Freshness.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Freshness.java
@@ -3,9 +3,9 @@
 import org.onyxhinge.wire.SuspendAwareClock;
 
 /**
- * For how long API keys are believed after the store has confirmed that the configuration that holds them is the newest,
- * counted from when the read that confirmed it was sent. A router that is cut off stops believing keys before that is
- * longer ago than operators allow for a key taken away. Thread-safe.
+ * For how long API keys are believed after the store has confirmed that the configuration that holds them is the
+ * newest, counted from when the read that confirmed it was sent. A router that is cut off stops believing keys before
+ * that is longer ago than operators allow for a key taken away. Thread-safe.
  */
 public final class Freshness {
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
@@ -123,7 +123,7 @@
         Launch.await(vertx.close(), TIMEOUT_MS);
     }
 
-    /** Guards against a key being served past its limit because a newer configuration's proof is held by an older one. */
+    /** Guards against serving a key past its limit by an older configuration under the proof of a newer one. */
     @Test
     void isNotServedByAConfigurationThatWasReplacedWhileItsCallWaited() {
         Future<Integer> status = call();
