Tests of separate processes wait until each agent has heard its target

Its logs: the router knew e2 by its agent's defaults when the eight requests came, and heard of its load 0.6 s later; all eight ran at e1, and the test waited for e2 in vain. Change: ready() waits until every agent has heard its target, as the tests presume. Checks and bounds are as they were.

--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -157,6 +157,10 @@
         for (int port : httpPorts.values()) {
             Processes.awaitPort(port);
         }
+        for (String agent : statusPorts.keySet()) {
+            // Until then routers know a target only by its agent's defaults.
+            await(agent + " hears its target", () -> state(agent).getBoolean("targetReachable"));
+        }
         for (String router : httpPorts.keySet()) {
             await(
                     router + " sees " + targets + " targets",
