--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -145,11 +145,7 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (!condition.getAsBoolean()) {
-            assertThat("in time", System.nanoTime() < endNs, is(true));
-            Thread.onSpinWait();
-        }
+        Conditions.await(condition, TIMEOUT_MS);
     }
 
     @AfterEach
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
@@ -19,6 +19,7 @@
 import org.onyxhinge.router.forward.AnswerHead;
 import org.onyxhinge.router.forward.CallHead;
 import org.onyxhinge.router.forward.CallProtocol;
+import org.onyxhinge.router.forward.Conditions;
 import org.onyxhinge.router.forward.Forwarder;
 import org.onyxhinge.router.forward.Freshness;
 import org.onyxhinge.router.forward.OutgoingCall;
@@ -111,11 +112,7 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (!condition.getAsBoolean()) {
-            assertThat("in time", System.nanoTime() < endNs, is(true));
-            Thread.onSpinWait();
-        }
+        Conditions.await(condition, TIMEOUT_MS);
     }
 
     @AfterEach
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SilentStreamTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SilentStreamTest.java
@@ -1,6 +1,5 @@
 package org.onyxhinge.router.forward.file;
 
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
@@ -13,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.onyxhinge.router.forward.Conditions;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
 
@@ -130,11 +130,7 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (!condition.getAsBoolean()) {
-            assertThat("in time", System.nanoTime() < endNs, is(true));
-            Thread.onSpinWait();
-        }
+        Conditions.await(condition, TIMEOUT_MS);
     }
 
     @AfterEach
