--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -4,8 +4,11 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallTimes;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.Route;
 import org.onyxhinge.core.route.TargetService;
@@ -87,6 +90,17 @@
         return own * RANKS_OF_ROUTES + route.priority();
     }
 
+    /** What its caller asks for, whatever the id of this try. */
+    RequestFingerprint fingerprint(HttpServerRequest request, Buffer body) {
+        String host = request.getHeader("Host");
+        return RequestFingerprint.of(
+                workspace.map(WorkspaceAccess::name).orElse(""),
+                request.method().name(),
+                host == null ? "" : host,
+                request.uri(),
+                body.getBytes());
+    }
+
     /** What is said of it to a target. */
     OutgoingCall outgoing(String targetId, Optional<String> resumeAfter) {
         return new OutgoingCall(targetId, leftMs(), workspace.map(WorkspaceAccess::name), resumeAfter);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -5,6 +5,7 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.limit.QuotaState;
 import org.onyxhinge.core.place.WaitEstimate;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.WorkspaceAccess;
 
 /** What is logged and counted of one call when it ends: one line, by its id. */
@@ -14,6 +15,9 @@
     private static final int PERCENT = 100;
 
     String requestId = "";
+    /** What its caller asked for, whatever the id; {@link RequestFingerprint#NONE} before its body was read. */
+    RequestFingerprint fingerprint = RequestFingerprint.NONE;
+
     String target = "";
     /** Calls at the target when it was last sent there, itself included, as far as was known. */
     int targetCalls;
@@ -76,11 +80,12 @@
             forwarder.metrics().wholeMs(routeName, tookMs);
         }
         LOG.infof(
-                "call id=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d promptTokens=%d"
+                "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d promptTokens=%d"
                         + " maxOutputTokens=%d expectedOutputTokens=%d"
                         + " target=%s targetCalls=%d sends=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d troubles=\"%s\"",
                 requestId,
+                fingerprint,
                 outcome,
                 why,
                 routeName,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -111,6 +111,7 @@
                 whole -> {
                     body = whole;
                     if (!over) {
+                        record.fingerprint = plan.fingerprint(request, whole);
                         admit();
                     }
                 },
