Requests that crash targets are quarantined, by all routers together

Cause: nothing that a router knows of a request outlives it, and no router tells another. Each copy has a new id, so each is a new request to every router (sends=1 in all lines; the router's own repeats and a common cause of the engines were ruled out).

Change: a request is known by a fingerprint of workspace, method, host, path and body. Where a connection breaks while a target runs it, the router tries the target's address at once; refused (or another start registered, or the registration gone) means that the target ended, and each call that broke there is a suspect. Crashes are facts (request, incarnation, age) that add up in any order: told to all routers at once and, whole, to each new connection. Three of different targets within ten minutes quarantine the request; a whole answer in the minute before a crash, or after it, clears it. Quarantined: refused before it waits, again before it is sent, calls under way without a first byte are withdrawn; 503 and when to come back if it has not run, 502 if it may have. After the second crash a router no longer repeats it by itself. The crashes of what is quarantined are kept in one record of the store (a write each, by compare-and-swap), for routers that all start anew; who removes the record lifts the quarantine.

What is kept in the store left Forwarder for FleetRecords.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -58,17 +58,25 @@
         return new Placement(router, dataCentre, settings, slotReserved);
     }
 
-    /** Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one. */
-    public void targetSeen(Target info) {
-        targets.seen(info);
+    /**
+     * Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one.
+     *
+     * @return the start of the target that is over, if the entry is of another one
+     */
+    public Optional<TargetState> targetSeen(Target info) {
+        return targets.seen(info);
     }
 
     /**
      * Takes out a target that is no longer registered; calls that run there go on. What is known of it is kept for
      * when it is back: a registration can lapse, or be overwritten by mistake, while its target runs.
+     *
+     * @return the target, if it was known
      */
-    public void targetGone(String id) {
-        targets.gone(id).ifPresent(t -> fleet.forget(t.incarnation()));
+    public Optional<TargetState> targetGone(String id) {
+        Optional<TargetState> gone = targets.gone(id);
+        gone.ifPresent(t -> fleet.forget(t.incarnation()));
+        return gone;
     }
 
     /** Every target, for dumps. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
@@ -39,14 +39,14 @@
         this.settings = settings;
     }
 
-    /** Takes a registry entry in: a new target, another start of one, one that is back, or a change of a known one. */
-    void seen(Target info) {
+    /** Takes a registry entry in; see {@link Placement#targetSeen}. */
+    Optional<TargetState> seen(Target info) {
         TargetState known = targets.get(info.incarnation());
         if (known != null && known.service().name().equals(info.service())) {
             known.update(info);
-            return;
+            return Optional.empty();
         }
-        gone(info.id());
+        Optional<TargetState> before = gone(info.id());
         TargetState state = Optional.ofNullable(departed.remove(info.incarnation()))
                 .filter(d -> d.service().name().equals(info.service()))
                 .orElseGet(() -> newTarget(info));
@@ -61,6 +61,7 @@
             }
         });
         state.peerUses(uses);
+        return before;
     }
 
     private TargetState newTarget(Target info) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -50,6 +51,9 @@
         /** The caller's id of the call. */
         String requestId();
 
+        /** What the caller asks for, whatever the id. */
+        RequestFingerprint fingerprint();
+
         /** No byte was sent; it has not run. */
         void unsent(Attempt attempt, String why);
 
@@ -97,6 +101,7 @@
                 .acquire(target.info(), mostConnections)
                 .onSuccess(this::connected)
                 .onFailure(e -> {
+                    forwarder.crashing().notReached(target, e);
                     forwarder.placement().unreachable(target, MonotonicClock.nowMs());
                     endUnsent("connect: " + e.getMessage());
                 });
@@ -132,8 +137,8 @@
         }
         sentAtMs = MonotonicClock.nowMs();
         heardAtMs = sentAtMs;
-        r.exceptionHandler(e -> endBroken(e.getMessage()));
-        r.response().onSuccess(this::head).onFailure(e -> endBroken(e.getMessage()));
+        r.exceptionHandler(this::connectionLost);
+        r.response().onSuccess(this::head).onFailure(this::connectionLost);
         Buffer out = owner.body();
         boolean bodiless = out.length() == 0 && (r.getMethod() == HttpMethod.GET || r.getMethod() == HttpMethod.HEAD);
         (bodiless ? r.end() : r.end(out)).onSuccess(v -> {
@@ -149,7 +154,7 @@
         response = r;
         heard();
         AnswerHead head = forwarder.protocol().readAnswer(r.statusCode(), r.headers(), owner.requestId());
-        r.exceptionHandler(e -> endBroken(e.getMessage()));
+        r.exceptionHandler(this::connectionLost);
         if (head.foreign()) {
             endBroken("answer to another call");
         } else if (head.notRun()) {
@@ -212,6 +217,13 @@
         }
     }
 
+    private void connectionLost(Throwable e) {
+        if (!ended) {
+            forwarder.crashing().broke(owner.fingerprint(), target);
+        }
+        endBroken(e.getMessage());
+    }
+
     private void endBroken(String why) {
         if (!ended) {
             forwarder.placement().broken(target);
@@ -297,6 +309,11 @@
         return firstByteSeen;
     }
 
+    /** True while the target may be running the call. */
+    boolean underWay() {
+        return !ended && sentAtMs >= 0;
+    }
+
     /** Time since a byte last came, or since it was sent; 0 before that. */
     long silentMs(long nowMs) {
         return sentAtMs < 0 ? 0 : nowMs - heardAtMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -11,6 +11,7 @@
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -28,6 +29,7 @@
     private final CallRecord record = new CallRecord();
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
+    private RequestFingerprint fingerprint = RequestFingerprint.NONE;
     private boolean quotaTaken;
     private boolean over;
     private Call waiting;
@@ -111,7 +113,8 @@
                 whole -> {
                     body = whole;
                     if (!over) {
-                        record.fingerprint = plan.fingerprint(request, whole);
+                        fingerprint = plan.fingerprint(request, whole);
+                        record.fingerprint = fingerprint;
                         admit();
                     }
                 },
@@ -119,6 +122,10 @@
     }
 
     private void admit() {
+        if (forwarder.crashing().holds(fingerprint)) {
+            keptFromTargets();
+            return;
+        }
         long nowMs = MonotonicClock.nowMs();
         Optional<WorkspaceQuotas.Exceeded> exceeded = forwarder.quotas().take(plan, nowMs);
         if (exceeded.isPresent()) {
@@ -133,6 +140,10 @@
     }
 
     private void place() {
+        if (forwarder.crashing().holds(fingerprint)) {
+            keptFromTargets();
+            return;
+        }
         verdict(forwarder.placement().submit(call(tries.avoid()), MonotonicClock.nowMs()));
     }
 
@@ -167,6 +178,22 @@
         }
     }
 
+    private void keptFromTargets() {
+        noPlace("quarantined", forwarder.crashing().endsInMs(fingerprint));
+    }
+
+    /** Its request is quarantined from now on. A target that has begun to answer it may still end. */
+    void quarantined() {
+        if (over || caller.headSent()) {
+            return;
+        }
+        if (attempt != null && attempt.underWay()) {
+            tries.ran();
+        }
+        stopWork();
+        keptFromTargets();
+    }
+
     /** No further target takes the call: ends it as honestly as what has happened before allows. */
     private void noPlace(String why, long retryAfterMs) {
         if (caller.headSent()) {
@@ -183,7 +210,7 @@
 
     @Override
     public boolean prepare(RequestOptions options, TargetState target) {
-        if (over || plan.leftMs() <= 0) {
+        if (over || plan.leftMs() <= 0 || forwarder.crashing().holds(fingerprint)) {
             return false;
         }
         tries.sent();
@@ -203,6 +230,11 @@
         return body;
     }
 
+    @Override
+    public RequestFingerprint fingerprint() {
+        return fingerprint;
+    }
+
     @Override
     public String requestId() {
         return plan.head().requestId();
@@ -243,6 +275,7 @@
             return;
         }
         tries.ran();
+        forwarder.crashing().answered(fingerprint);
         boolean worthAnotherTry = answer.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
         if (worthAnotherTry && tries.kept() == null) {
             tries.avoid(a.target());
@@ -298,6 +331,7 @@
             broke(a, "stream ended inside an event");
             return;
         }
+        forwarder.crashing().answered(fingerprint);
         forwarder
                 .lengths()
                 .ended(plan.route().name(), stream.events(), plan.head().expectedOutputTokens());
@@ -311,7 +345,8 @@
         if (over) {
             return;
         }
-        if (plan.route().repeatable() && tries.mayRepeat(plan, forwarder)) {
+        boolean mayGoOn = plan.route().repeatable() && forwarder.crashing().mayBeRepeated(fingerprint);
+        if (mayGoOn && tries.mayRepeat(plan, forwarder)) {
             place();
         } else {
             noPlace("target_broke", 0);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -28,6 +28,7 @@
 import org.onyxhinge.core.place.PlacementSettings;
 import org.onyxhinge.core.place.Target;
 import org.onyxhinge.core.place.TargetState;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.TargetService;
 import org.onyxhinge.wire.MonotonicClock;
@@ -64,6 +65,7 @@
     private final Set<Attempt> attempts = new HashSet<>();
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
+    private final CrashingRequests crashing;
     private final PeersSide peersSide;
     private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
@@ -71,6 +73,7 @@
     private Intake intake;
     private WaitingExchanges waiting;
     private RouterPeers peers;
+    private FleetRecords records;
     private HttpServer server;
 
     private Forwarder(
@@ -87,7 +90,9 @@
         this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
-        this.peersSide = new PeersSide(placement, quotas, metrics, this::usageHeard);
+        this.crashing =
+                new CrashingRequests(connections, metrics, message -> peers.tellAll(message), this::quarantined);
+        this.peersSide = new PeersSide(placement, quotas, crashing, metrics, this::usageHeard);
     }
 
     /** Starts listening for callers and other routers; it refuses calls until it has a configuration. */
@@ -125,6 +130,7 @@
         return RouterPeers.start(vertx, settings, peersSide)
                 .compose(p -> {
                     peers = p;
+                    records = new FleetRecords(context, quotas, crashing, p);
                     return server.listen(settings.port(), settings.host());
                 })
                 .map(s -> {
@@ -187,7 +193,8 @@
     public void targetSeen(Target target) {
         context.runOnContext(v -> {
             lapsed.settled(target.id());
-            placement.targetSeen(target);
+            Optional<TargetState> replaced = placement.targetSeen(target);
+            replaced.ifPresent(t -> crashing.ended(t.incarnation()));
             pumpSoon();
         });
     }
@@ -196,10 +203,14 @@
     public void targetGone(String id) {
         context.runOnContext(v -> {
             lapsed.settled(id);
-            placement.targetGone(id);
+            gone(id);
         });
     }
 
+    private void gone(String id) {
+        placement.targetGone(id).ifPresent(t -> crashing.ended(t.incarnation()));
+    }
+
     /** Notes that a target's registration is missing after the registry was away; it may soon be back. */
     public void targetLapsed(String id) {
         context.runOnContext(v -> lapsed.lapsed(id, MonotonicClock.nowMs()));
@@ -218,27 +229,9 @@
         context.runOnContext(v -> peers.unregistered(routerId));
     }
 
-    /**
-     * What workspaces have used, for the record; empty where another router is to write it, or nothing was counted. A
-     * record is written by the router whose id comes first among those that hear each other.
-     */
-    public Future<Optional<byte[]>> usageToRecord() {
-        Promise<Optional<byte[]>> out = Promise.promise();
-        context.runOnContext(v -> out.complete(Optional.of(quotas.usedInWindow(MonotonicClock.nowMs()))
-                .filter(units -> !units.isEmpty() && peers.comesFirst())
-                .map(units -> new UsageRecord(System.currentTimeMillis(), units).encode())));
-        return out.future();
-    }
-
-    /** Takes the record of workspaces' use in, as it was read from the store. */
-    public void usageRecorded(byte[] bytes) {
-        context.runOnContext(v -> {
-            if (quotas.wantsRecord()) {
-                UsageRecord.decode(bytes)
-                        .peek(quotas::recorded)
-                        .peekLeft(e -> LOG.errorf("usage record unreadable error=%s", e));
-            }
-        });
+    /** What is kept in the key-value service for routers that start. */
+    public FleetRecords records() {
+        return records;
     }
 
     /** True when callers' calls can be served. */
@@ -279,6 +272,7 @@
                 .put("targetConnections", connections.openNow())
                 .put("targetConnectionsOpened", connections.opened())
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
+                .put("quarantined", new JsonObject(crashing.byRequest()))
                 .put("routersKnown", peers.known())
                 .put("routersHeardPart", peers.heardPart())));
         return out.future();
@@ -289,6 +283,12 @@
         pumpSoon();
     }
 
+    private void quarantined(RequestFingerprint request) {
+        List.copyOf(exchanges).stream()
+                .filter(x -> x.fingerprint().equals(request))
+                .forEach(Exchange::quarantined);
+    }
+
     private void slotReserved(String routerId, String targetId) {
         metrics.event("slots.reserved_for_peers");
         peers.slotReserved(routerId, targetId);
@@ -317,7 +317,7 @@
         silent.forEach(a -> a.silent(nowMs));
         for (String id : lapsed.due(nowMs)) {
             LOG.infof("target gone id=%s why=\"not registered again after the registry was away\"", id);
-            placement.targetGone(id);
+            gone(id);
         }
         connections.sweep(
                 id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
@@ -368,6 +368,10 @@
         return retries;
     }
 
+    CrashingRequests crashing() {
+        return crashing;
+    }
+
     Freshness freshness() {
         return freshness;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
@@ -1,6 +1,5 @@
 package org.onyxhinge.router.forward;
 
-import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -8,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.net.NetClient;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.place.PeerCadence;
@@ -117,7 +115,7 @@
 
     private void notReached(Throwable e) {
         long failedAtMs = MonotonicClock.nowMs();
-        if (e instanceof ConnectException && !(e instanceof ConnectTimeoutException)) {
+        if (ConnectErrors.refused(e)) {
             refusedAtMs = failedAtMs;
             refused.run();
         }
@@ -162,6 +160,18 @@
         whole = !taken;
     }
 
+    /** True when the router is to be told everything with the next message: what it knows of this one is not known. */
+    boolean startsAnew() {
+        return whole;
+    }
+
+    /** Sends a message that must not be lost: where it cannot be sent now, the router is told everything later. */
+    void tell(PeerMessage message) {
+        if (connection == null || !connection.send(message)) {
+            whole = true;
+        }
+    }
+
     /** Sends a message that is of no use later; it is dropped if there is no connection. */
     void sendNow(PeerMessage message) {
         if (connection != null) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
@@ -18,6 +18,7 @@
 
     private final Placement placement;
     private final WorkspaceQuotas quotas;
+    private final CrashingRequests crashing;
     private final ForwardingMetrics metrics;
     private final Runnable changed;
     private final List<PeerMessage.Usage> early = new ArrayList<>();
@@ -28,9 +29,15 @@
      *
      * @param changed called when something was heard, so that waiting calls are looked at
      */
-    PeersSide(Placement placement, WorkspaceQuotas quotas, ForwardingMetrics metrics, Runnable changed) {
+    PeersSide(
+            Placement placement,
+            WorkspaceQuotas quotas,
+            CrashingRequests crashing,
+            ForwardingMetrics metrics,
+            Runnable changed) {
         this.placement = placement;
         this.quotas = quotas;
+        this.crashing = crashing;
         this.metrics = metrics;
         this.changed = changed;
     }
@@ -123,4 +130,19 @@
         placement.slotsWanted(wanted.routerId(), wanted.service(), wanted.waiting(), MonotonicClock.nowMs());
         changed.run();
     }
+
+    @Override
+    public PeerMessage.Crashes crashes() {
+        return crashing.news();
+    }
+
+    @Override
+    public void crashesHeard(PeerMessage.Crashes crashes) {
+        crashing.heard(crashes);
+    }
+
+    @Override
+    public void answeredWhole(PeerMessage.AnsweredWhole answered) {
+        crashing.heard(answered);
+    }
 }
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineKeeper.java
@@ -0,0 +1,51 @@
+package org.onyxhinge.router.forward;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import org.jboss.logging.Logger;
+import org.onyxhinge.wire.kv.KvMessage;
+import org.onyxhinge.wire.kv.KvStore;
+
+/** Keeps the record of quarantined requests in the key-value service: a write for each that is quarantined. */
+public final class QuarantineKeeper {
+
+    private static final Logger LOG = Logger.getLogger(QuarantineKeeper.class);
+
+    /** A router that starts within this of a quarantine may not know of it until another router tells it. */
+    private static final long LOOK_MS = 250;
+
+    private final KvStore store;
+    private final String key;
+    private final FleetRecords records;
+    private boolean writing;
+
+    private QuarantineKeeper(KvStore store, String key, FleetRecords records) {
+        this.store = store;
+        this.key = key;
+        this.records = records;
+    }
+
+    /** Starts keeping the record under {@code key}; to be called on the store's context. */
+    public static void start(Vertx vertx, KvStore store, String key, FleetRecords records) {
+        QuarantineKeeper keeper = new QuarantineKeeper(store, key, records);
+        vertx.setPeriodic(LOOK_MS, t -> keeper.write());
+    }
+
+    private void write() {
+        if (writing) {
+            return;
+        }
+        writing = true;
+        records.quarantineToRecord()
+                .compose(change -> change.isEmpty()
+                        ? Future.<KvMessage.Reply>succeededFuture()
+                        : store.put(key, change.get().bytes(), change.get().replaces(), 0))
+                .onSuccess(reply -> {
+                    if (reply != null) {
+                        LOG.infof("quarantine recorded key=%s revision=%d", key, reply.revision());
+                    }
+                })
+                .onFailure(e -> LOG.infof("quarantine not recorded key=%s error=%s", key, e.getMessage()))
+                .onComplete(r -> writing = false);
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -94,6 +94,15 @@
 
         /** Hears that a router of another group has calls that wait. */
         void slotsWanted(PeerMessage.SlotsWanted wanted);
+
+        /** Every crash that is known here, for a router that may know of none. */
+        PeerMessage.Crashes crashes();
+
+        /** Hears of targets that ended while they ran requests. */
+        void crashesHeard(PeerMessage.Crashes crashes);
+
+        /** Hears that a request is no suspect. */
+        void answeredWhole(PeerMessage.AnsweredWhole answered);
     }
 
     private RouterPeers(Vertx vertx, ForwardingSettings settings, Side side) {
@@ -174,6 +183,8 @@
             case PeerMessage.Usage usage -> usageReceived(usage);
             case PeerMessage.SlotReserved r -> side.slotReserved(r.targetId());
             case PeerMessage.SlotsWanted w -> side.slotsWanted(w);
+            case PeerMessage.Crashes c -> side.crashesHeard(c);
+            case PeerMessage.AnsweredWhole a -> side.answeredWhole(a);
             default ->
                 LOG.warnf(
                         "unexpected message between routers type=%s",
@@ -225,6 +236,9 @@
                 link.renew(nowMs);
             }
             if (link.connected()) {
+                if (link.startsAnew()) {
+                    tellCrashes(link);
+                }
                 link.send(settings.routerId(), life, new PeerLink.State(news.apply(id), totals), side::windows, nowMs);
             } else {
                 link.dial(client, traffic, this::received, nowMs);
@@ -235,6 +249,18 @@
                         r.router(), new PeerMessage.SlotsWanted(settings.routerId(), r.service(), r.waiting())));
     }
 
+    private void tellCrashes(PeerLink link) {
+        PeerMessage.Crashes crashes = side.crashes();
+        if (!crashes.crashes().isEmpty()) {
+            link.sendNow(crashes);
+        }
+    }
+
+    /** Tells every router something at once. */
+    void tellAll(PeerMessage.BetweenRouters message) {
+        links.values().forEach(l -> l.tell(message));
+    }
+
     private void sendNow(String routerId, PeerMessage message) {
         Optional.ofNullable(links.get(routerId)).ifPresent(l -> l.sendNow(message));
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetConnections.java
@@ -69,6 +69,19 @@
         if (open.getOrDefault(incarnation, 0) >= most) {
             return Future.failedFuture("already " + most + " connections to " + target.id());
         }
+        return connect(target);
+    }
+
+    /** Tries whether anything listens at a target's address; fails when no connection can be made. */
+    Future<Void> probe(Target target) {
+        return connect(target).map(c -> {
+            release(c, null);
+            return null;
+        });
+    }
+
+    private Future<TargetConnection> connect(Target target) {
+        String incarnation = target.incarnation();
         open.merge(incarnation, 1, Integer::sum);
         opened++;
         return client.connect(new HttpConnectOptions().setHost(target.host()).setPort(target.port()))
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
@@ -20,18 +20,18 @@
 
     private final KvStore store;
     private final String key;
-    private final Forwarder forwarder;
+    private final FleetRecords records;
     private boolean writing;
 
-    private UsageKeeper(KvStore store, String key, Forwarder forwarder) {
+    private UsageKeeper(KvStore store, String key, FleetRecords records) {
         this.store = store;
         this.key = key;
-        this.forwarder = forwarder;
+        this.records = records;
     }
 
     /** Starts keeping the record under {@code key}; to be called on the store's context. */
-    public static void start(Vertx vertx, KvStore store, String key, Forwarder forwarder) {
-        UsageKeeper keeper = new UsageKeeper(store, key, forwarder);
+    public static void start(Vertx vertx, KvStore store, String key, FleetRecords records) {
+        UsageKeeper keeper = new UsageKeeper(store, key, records);
         vertx.setPeriodic(WRITE_MS, t -> keeper.write());
     }
 
@@ -40,8 +40,7 @@
             return;
         }
         writing = true;
-        forwarder
-                .usageToRecord()
+        records.usageToRecord()
                 .compose(bytes -> bytes.isEmpty()
                         ? Future.<KvMessage.Reply>succeededFuture()
                         : store.put(key, bytes.get(), KvMessage.ANY, 0))
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/QuarantineRecordTest.java
@@ -0,0 +1,45 @@
+package org.onyxhinge.router.forward;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.onyxhinge.core.quarantine.Crash;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class QuarantineRecordTest {
+
+    private static QuarantineRecord record(long high, String incarnation, long atEpochMs) {
+        return new QuarantineRecord(
+                List.of(new QuarantineRecord.Entry(new RequestFingerprint(high, 2), incarnation, atEpochMs)));
+    }
+
+    @Property(tries = 100, seed = "33")
+    void whatWasWrittenIsRead(@ForAll long high, @ForAll String incarnation, @ForAll long atEpochMs) {
+        QuarantineRecord record = record(high, incarnation, atEpochMs);
+        assertThat(QuarantineRecord.decode(record.encode()).get(), is(record));
+    }
+
+    @Property(tries = 300, seed = "34")
+    void otherBytesAreNoRecordAndDoNoHarm(@ForAll byte[] bytes) {
+        QuarantineRecord.decode(bytes).peek(r -> assertThat(r.entries().size() <= bytes.length, is(true)));
+    }
+
+    @Test
+    void aWriterWhoseClockIsAheadTellsOfNoCrashInTheFuture() {
+        QuarantineRecord ahead = record(1, "a", System.currentTimeMillis() + 60_000);
+        assertThat(ahead.crashes(500).getFirst().atMs(), is(500L));
+    }
+
+    @Test
+    void aRecordCoversTheCrashesThatItHoldsWhateverTheirTimes() {
+        QuarantineRecord one = QuarantineRecord.of(List.of(new Crash(new RequestFingerprint(1, 2), "a", 0)), 0);
+        assertThat(record(1, "a", 7).covers(one), is(true));
+        assertThat(record(1, "b", 7).covers(one), is(false));
+        assertThat(one.covers(new QuarantineRecord(List.of())), is(true));
+    }
+}
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -20,6 +21,7 @@
 import org.onyxhinge.core.place.PeerNews;
 import org.onyxhinge.core.place.SlotRequest;
 import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -46,6 +48,9 @@
         private final Map<String, String> joined = new ConcurrentHashMap<>();
         private final AtomicReference<SlotRequest> request = new AtomicReference<>();
         private final AtomicReference<PeerMessage.SlotsWanted> asked = new AtomicReference<>();
+        private final Set<PeerMessage.CrashedAgo> crashes = ConcurrentHashMap.newKeySet();
+        private final Set<PeerMessage.CrashedAgo> crashesHeard = ConcurrentHashMap.newKeySet();
+        private final Set<RequestFingerprint> cleared = ConcurrentHashMap.newKeySet();
         private volatile boolean near = true;
         private final Vertx own = Vertx.vertx();
         /** The one thread that the peers are used from, as in a router. */
@@ -120,6 +125,21 @@
             asked.set(wanted);
         }
 
+        @Override
+        public PeerMessage.Crashes crashes() {
+            return new PeerMessage.Crashes(List.copyOf(crashes));
+        }
+
+        @Override
+        public void crashesHeard(PeerMessage.Crashes message) {
+            crashesHeard.addAll(message.crashes());
+        }
+
+        @Override
+        public void answeredWhole(PeerMessage.AnsweredWhole answered) {
+            cleared.add(answered.request());
+        }
+
         /** Runs something on the peers' thread and waits for what comes of it. */
         private <T> T on(Supplier<Future<T>> action) {
             Promise<T> done = Promise.promise();
@@ -188,6 +208,25 @@
         b.stop();
     }
 
+    /** Guards against a request that crashes targets being sent on by a router that was not there when it did. */
+    @Test
+    void crashesAreToldAtOnceAndToARouterThatComesLater() {
+        PeerMessage.CrashedAgo first = new PeerMessage.CrashedAgo(new RequestFingerprint(1, 2), "t1", 10);
+        PeerMessage.CrashedAgo second = new PeerMessage.CrashedAgo(new RequestFingerprint(1, 2), "t2", 10);
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.crashes.add(first);
+        a.knows(b);
+        b.knows(a);
+        await(() -> b.crashesHeard.contains(first));
+        a.context.runOnContext(v -> a.peers.tellAll(new PeerMessage.Crashes(List.of(second))));
+        await(() -> b.crashesHeard.contains(second));
+        a.context.runOnContext(v -> a.peers.tellAll(new PeerMessage.AnsweredWhole(first.request(), 0)));
+        await(() -> b.cleared.contains(first.request()));
+        a.stop();
+        b.stop();
+    }
+
     @Test
     void aRouterWhoseProcessEndedIsNotTakenForOneThatIsUnheard() {
         Router a = new Router("a");
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -16,6 +16,7 @@
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 
@@ -38,6 +39,8 @@
     private static final int USAGE = 11;
     private static final int SLOT_RESERVED = 12;
     private static final int SLOTS_WANTED = 13;
+    private static final int CRASHES = 14;
+    private static final int ANSWERED_WHOLE = 15;
     private static final int USAGE_FIELDS = 8;
     /** Routers of the version before said nothing of rates. */
     private static final int USAGE_FIELDS_BEFORE_RATES = 7;
@@ -46,6 +49,7 @@
     private static final double HUNDREDTHS = 100;
 
     private static final int MAX_PREFIXES = 4_096;
+    private static final int MAX_CRASHES = 65_536;
     /** Far above the targets and workspaces of the planned size; a larger map is not one of ours. */
     private static final int MAX_USAGE_ENTRIES = 16_384;
 
@@ -86,6 +90,12 @@
                 head(p, SLOTS_WANTED, 3).packString(w.routerId()).packString(w.service());
                 writeCounts(p, w.waiting());
             }
+            case PeerMessage.Crashes c -> writeCrashes(p, c);
+            case PeerMessage.AnsweredWhole a -> {
+                head(p, ANSWERED_WHOLE, 3);
+                writeFingerprint(p, a.request());
+                p.packLong(a.agoMs());
+            }
             case PeerMessage.OrderReply o ->
                 head(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -240,6 +250,8 @@
                 new PeerMessage.SlotReserved(expect(u, fields, 1).unpackString());
             case SLOTS_WANTED ->
                 new PeerMessage.SlotsWanted(expect(u, fields, 3).unpackString(), u.unpackString(), readCounts(u));
+            case CRASHES -> readCrashes(u, fields);
+            case ANSWERED_WHOLE -> new PeerMessage.AnsweredWhole(readFingerprint(expect(u, fields, 3)), u.unpackLong());
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         expect(u, fields, 3).unpackLong(),
@@ -293,6 +305,34 @@
         return new PeerMessage.Load(running, waiting, prefixes, u.unpackBoolean());
     }
 
+    private static void writeCrashes(MessagePacker p, PeerMessage.Crashes c) throws IOException {
+        head(p, CRASHES, 1).packArrayHeader(c.crashes().size());
+        for (PeerMessage.CrashedAgo crash : c.crashes()) {
+            writeFingerprint(p, crash.request());
+            p.packString(crash.incarnation()).packLong(crash.agoMs());
+        }
+    }
+
+    private static PeerMessage.Crashes readCrashes(MessageUnpacker u, int fields) throws IOException {
+        int n = expect(u, fields, 1).unpackArrayHeader();
+        if (n > MAX_CRASHES) {
+            throw new WireException("too many crashes: " + n);
+        }
+        List<PeerMessage.CrashedAgo> crashes = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            crashes.add(new PeerMessage.CrashedAgo(readFingerprint(u), u.unpackString(), u.unpackLong()));
+        }
+        return new PeerMessage.Crashes(crashes);
+    }
+
+    private static void writeFingerprint(MessagePacker p, RequestFingerprint f) throws IOException {
+        p.packLong(f.high()).packLong(f.low());
+    }
+
+    private static RequestFingerprint readFingerprint(MessageUnpacker u) throws IOException {
+        return new RequestFingerprint(u.unpackLong(), u.unpackLong());
+    }
+
     private static <T> T constant(T[] all, int ordinal) {
         if (ordinal < 0 || ordinal >= all.length) {
             throw new WireException("no constant " + ordinal + " among " + all.length);
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.schedule.LoadReport;
 
@@ -170,4 +171,34 @@
             waiting = Map.copyOf(waiting);
         }
     }
+
+    /**
+     * Targets that ended while they ran requests.
+     *
+     * @param crashes each request that ran on one
+     */
+    record Crashes(List<CrashedAgo> crashes) implements BetweenRouters {
+
+        /** Copies the list. */
+        public Crashes {
+            crashes = List.copyOf(crashes);
+        }
+    }
+
+    /**
+     * One request that ran on a target when it ended.
+     *
+     * @param request the request
+     * @param incarnation the start of the target that ended
+     * @param agoMs how long ago; routers' clocks differ
+     */
+    record CrashedAgo(RequestFingerprint request, String incarnation, long agoMs) {}
+
+    /**
+     * A target answered a request whole that was a suspect in crashes.
+     *
+     * @param request the request
+     * @param agoMs how long ago
+     */
+    record AnsweredWhole(RequestFingerprint request, long agoMs) implements BetweenRouters {}
 }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -12,6 +12,7 @@
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvCodec;
@@ -89,6 +90,16 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(reserved)), equalTo(reserved));
         PeerMessage.SlotsWanted wanted = new PeerMessage.SlotsWanted("r1", "writers", Map.of(2, 7, 5, 1));
         assertThat(PeerCodec.decode(PeerCodec.encode(wanted)), equalTo(wanted));
+        PeerMessage.Crashes crashes = crashes(life);
+        assertThat(PeerCodec.decode(PeerCodec.encode(crashes)), equalTo(crashes));
+        PeerMessage.AnsweredWhole answered = new PeerMessage.AnsweredWhole(new RequestFingerprint(life, 2), life);
+        assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
+    }
+
+    private static PeerMessage.Crashes crashes(long number) {
+        RequestFingerprint request = new RequestFingerprint(number, -number);
+        return new PeerMessage.Crashes(List.of(
+                new PeerMessage.CrashedAgo(request, "w1@7", 90), new PeerMessage.CrashedAgo(request, "w2", number)));
     }
 
     /** Damages one byte of a valid message: closer to the decoder's inner branches than random bytes. */
@@ -106,6 +117,9 @@
                 Map.of("agency", 7L),
                 Map.of("writers", Map.of(1, 4)),
                 Map.of("writers", new ServiceRates(2, Map.of(1, 3.5)))));
+        byte[] crashes = PeerCodec.encode(crashes(7));
+        crashes[at % crashes.length] = damage;
+        peerDecoderRejectsGarbageWithItsOwnError(crashes);
         order[at % order.length] = damage;
         usage[at % usage.length] = damage;
         peerDecoderRejectsGarbageWithItsOwnError(usage);
