Log the rate limit that a target's answer names

What was missing in the incident: no line showed that a router had been told of a limit. The line of each call names it. No decision rests on it yet.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
+import org.onyxhinge.core.place.NamedLimit;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.wire.MonotonicClock;
@@ -54,6 +55,9 @@
         /** What the caller asks for, whatever the id. */
         RequestFingerprint fingerprint();
 
+        /** Hears what the head of the answer says of the target's rate limit. */
+        void limitNamed(NamedLimit limit);
+
         /** No byte was sent; it has not run. */
         void unsent(Attempt attempt, String why);
 
@@ -155,6 +159,7 @@
         heard();
         AnswerHead head = forwarder.protocol().readAnswer(r.statusCode(), r.headers(), owner.requestId());
         r.exceptionHandler(this::connectionLost);
+        owner.limitNamed(head.limit());
         if (head.foreign()) {
             endBroken("answer to another call");
         } else if (head.notRun()) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -25,6 +25,9 @@
     /** How long ago the configuration it was checked by had been confirmed; -1 when it was not checked. */
     long proofAgeMs = -1;
 
+    /** Requests a second that the target's answer named as its limit; -1 for none. */
+    double limitPerSecond = -1;
+
     long sentAfterMs = -1;
     long firstByteMs = -1;
     long longestGapMs;
@@ -82,7 +85,7 @@
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d promptTokens=%d"
                         + " maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " target=%s targetCalls=%d sends=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
+                        + " target=%s targetCalls=%d limitPerSecond=%s sends=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d troubles=\"%s\"",
                 requestId,
                 fingerprint,
@@ -97,6 +100,7 @@
                 plan == null ? -1 : plan.head().expectedOutputTokens(),
                 target,
                 targetCalls,
+                limitPerSecond,
                 sends,
                 sentAfterMs,
                 firstByteMs,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
+import org.onyxhinge.core.place.NamedLimit;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
@@ -240,6 +241,15 @@
         return plan.head().requestId();
     }
 
+    @Override
+    public void limitNamed(NamedLimit limit) {
+        switch (limit) {
+            case NamedLimit.None n -> record.limitPerSecond = -1;
+            case NamedLimit.PerSecond p -> record.limitPerSecond = p.perSecond();
+            case NamedLimit.Unreadable u -> record.note("limit", "unreadable " + u.text());
+        }
+    }
+
     @Override
     public void unsent(Attempt a, String why) {
         forwarder.metrics().event("sends.unsent");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpServerRequest;
+import org.onyxhinge.core.place.NamedLimit;
 import org.onyxhinge.router.forward.AnswerHead;
 import org.onyxhinge.router.forward.CallHead;
 import org.onyxhinge.router.forward.CallProtocol;
@@ -28,6 +29,9 @@
     static final String WORKSPACE = "X-Onyx-Workspace";
     static final String TARGET = "X-Onyx-Target";
     static final String NOT_RUN = "X-Onyx-Not-Run";
+    /** Requests a second that the target takes from all routers together, as long as its answers say so. */
+    static final String RATE_LIMIT = "X-Onyx-Rate-Limit";
+
     private static final String LAST_EVENT_ID = "Last-Event-ID";
 
     /** For callers that name no deadline; their route's timeout is usually shorter. */
@@ -87,6 +91,7 @@
     public AnswerHead readAnswer(int status, MultiMap headers, String requestId) {
         String echoed = headers.get(REQUEST_ID);
         boolean foreign = echoed != null && !echoed.equals(requestId);
-        return new AnswerHead(status, headers.contains(NOT_RUN) || status == MISDIRECTED, foreign, true);
+        boolean notRun = headers.contains(NOT_RUN) || status == MISDIRECTED;
+        return new AnswerHead(status, notRun, foreign, true, NamedLimit.parse(headers.get(RATE_LIMIT)));
     }
 }
