The rate limit that a target names is kept by all routers together

What callers saw: nothing at once; an engine in need that named a limit of 2 requests a second got 30 in 4 s, as many as before. Cause: the header was passed on to the caller and decided nothing (rates and first bytes the same before and after, each router alone above the whole limit, all 75 sends first sends, so neither shares nor repeats were at fault).

Change: the limit counts as a property of the target, for the whole fleet. What one router reads in the head of an answer is told to all at once and to each new connection. Of the routers that share the target, the first in its order gives the limit out, by a token bucket that begins empty and holds one: to its own calls, or by reserving slots, as they are reserved between groups, to routers whose calls wait; those as urgent take turns. A part for each router was ruled out: 2.4 a second over 33 routers is a call in 14 s for each, and 33 full buckets break the bound. The gate is in what a target has free, so every send passes it: first ones, repeats, resumed streams. Only the signed answer to a call that was sent since the limit was last named ends it; a limit of 0, or a target that is never the cheapest, gets a call every few seconds so that its end is heard. Waits are estimated by what limited targets take, and no call waits for one of them as the only one that suits.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -326,6 +326,34 @@
         target.health().shed(nowMs);
     }
 
+    /**
+     * Notes that a target has named a rate limit, in an answer or as another router tells.
+     *
+     * @param perSecond requests a second that it takes from all routers together
+     * @param atMs when
+     * @return whether that is news
+     */
+    public boolean limitNamed(String incarnation, double perSecond, long atMs) {
+        return targets.limitNamed(incarnation, perSecond, atMs);
+    }
+
+    /**
+     * Notes an answer in which a target named no rate limit.
+     *
+     * @param sentAtMs when the answered call was sent
+     * @return whether that ends a limit
+     */
+    public boolean limitNotNamed(String incarnation, long sentAtMs) {
+        return targets.limitNotNamed(incarnation, sentAtMs);
+    }
+
+    /** Every rate limit that is known. */
+    public List<NamedRate> limits() {
+        List<NamedRate> out = new ArrayList<>();
+        targets.limits().forEach((incarnation, l) -> out.add(new NamedRate(incarnation, l.perSecond(), l.namedAtMs())));
+        return out;
+    }
+
     /** When bytes last came from a target; 0 for never. */
     public long heardAtMs(TargetState target) {
         return target.health().heardAtMs();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -1,16 +1,17 @@
 package org.onyxhinge.core.place;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 
 /** What is asked of one service: calls that wait here and at the peers, how many arrive, how fast slots fall free. */
 final class ServiceDemand {
 
-    private static final double MS_PER_SECOND = 1_000;
-
     /** A router that asks for slots is served from those that fall free soon after; then it asks another. */
     private static final long ASKED_FOR_MS = 100;
 
@@ -134,6 +135,24 @@
         return Optional.ofNullable(need);
     }
 
+    /**
+     * The peer with the first call up to {@code precedence} that no slot is reserved for; of those alike, the one that
+     * was last served longest ago. It is for slots that no other router can reserve.
+     *
+     * @param servedAtMs when a peer was last served
+     */
+    Optional<Neediest> neediestInTurn(int precedence, ToLongFunction<String> servedAtMs, long nowMs) {
+        borrowers.values().removeIf(b -> b.untilMs() <= nowMs);
+        return Stream.concat(
+                        peers.entrySet().stream().map(e -> new Neediest(e.getKey(), e.getValue())),
+                        borrowers.entrySet().stream()
+                                .map(e -> new Neediest(e.getKey(), e.getValue().demand())))
+                .filter(n -> n.demand().first() <= precedence)
+                .filter(n -> n.demand().unservedBefore(Integer.MAX_VALUE, nowMs) > 0)
+                .min(Comparator.<Neediest>comparingInt(n -> n.demand().first())
+                        .thenComparingLong(n -> servedAtMs.applyAsLong(n.peer())));
+    }
+
     /**
      * The needier of two routers.
      *
@@ -172,6 +191,6 @@
 
     /** How often a slot falls free while all are taken. */
     private double fullTurnoverPerSecond(ServiceTargets targets) {
-        return CERTAIN_FREED_PART * targets.slots() * MS_PER_SECOND / heldMs;
+        return CERTAIN_FREED_PART * targets.turnoverPerSecond(heldMs);
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -38,6 +38,8 @@
 
     private static final double FAR_COST_MS = 20;
 
+    private static final double MS_PER_SECOND = 1_000;
+
     private final String name;
     private final String dataCentre;
     private final PlacementSettings settings;
@@ -95,6 +97,14 @@
                 .filter(t -> t.owners() != TargetState.Owners.ANOTHER_GROUP)
                 .toList();
         lent.removeAll(ours);
+        for (TargetState t : targets) {
+            t.limit().ifPresent(limit -> limit.givenOutHere(fleet.sharing(t).before(t.incarnation()) == 0));
+        }
+    }
+
+    /** Has the targets dealt out anew: one of them has another rate limit. */
+    void limitChanged() {
+        dealt = false;
     }
 
     /** Whether all routers share all of its targets, none being one group's. */
@@ -152,7 +162,7 @@
                     || !mayTake.test(t)) {
                 continue;
             }
-            double cost = cost(call, t);
+            double cost = t.limit().filter(l -> l.wantsAnswer(nowMs)).isPresent() ? 0 : cost(call, t);
             if (isOutlier(t, meanFailures) && mayBeSetAside-- > 0) {
                 cost += SET_ASIDE_COST_MS;
             }
@@ -215,9 +225,10 @@
         return false;
     }
 
+    /** Whether a call suits any target; none waits for one that takes only a few calls a second. */
     private boolean anySuits(Call call, long nowMs) {
         for (TargetState t : ours) {
-            if (t.takesCalls() && t.suits(call, nowMs)) {
+            if (t.takesCalls() && t.limit().isEmpty() && t.suits(call, nowMs)) {
                 return true;
             }
         }
@@ -234,13 +245,19 @@
         return false;
     }
 
-    /** Slots of those of our targets that take calls. */
-    int slots() {
-        int n = 0;
+    /**
+     * How often a slot of our targets falls free, to be used again, while all are taken.
+     *
+     * @param heldMs how long a call holds its slot
+     */
+    double turnoverPerSecond(double heldMs) {
+        double perSlot = MS_PER_SECOND / heldMs;
+        double sum = 0;
         for (TargetState t : ours) {
-            n += t.takesCalls() ? t.info().slots() : 0;
+            double ofSlots = t.takesCalls() ? t.info().slots() * perSlot : 0;
+            sum += t.limit().map(l -> Math.min(l.perSecond(), ofSlots)).orElse(ofSlots);
         }
-        return Math.max(1, n);
+        return Math.max(perSlot, sum);
     }
 
     boolean anyTakesCalls() {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
@@ -73,8 +73,9 @@
     }
 
     /**
-     * Whether a free slot at a target is this router's to take: one that its own calls freed, one reserved for it, and
-     * otherwise one if its turn at this target is among the first of those that are free.
+     * Whether a free slot at a target is this router's to take: one that its own calls freed, one reserved for it, any
+     * of a target whose rate limit it gives out, and otherwise one if its turn at this target is among the first of
+     * those that are free.
      *
      * <p>Calls that end before other routers hear of them need no turn: what is heard of such calls is over by then.
      *
@@ -82,7 +83,10 @@
      * @param heardAfterMs time until other routers hear of what one does now
      */
     private boolean mayTake(TargetState target, double callMs, long heardAfterMs, long nowMs) {
-        return callMs < heardAfterMs || target.hasSlotOfOurs(nowMs) || isOurTurn(target, nowMs);
+        return callMs < heardAfterMs
+                || target.hasSlotOfOurs(nowMs)
+                || target.isLimitedHere()
+                || isOurTurn(target, nowMs);
     }
 
     private boolean isOurTurn(TargetState target, long nowMs) {
@@ -98,6 +102,7 @@
     /** Notes that a call goes to a target. */
     void taken(ServiceTargets service, ServiceDemand demand, Call call, TargetState target, long nowMs) {
         target.started(call, nowMs, heardAtMs(service, demand, nowMs));
+        target.limit().ifPresent(l -> l.servedHere(nowMs));
     }
 
     /** The fastest target with a free slot that is this router's whatever the call. */
@@ -110,7 +115,9 @@
         if (!settings.uses(Mechanism.HAND_OVER)) {
             return false;
         }
-        Optional<ServiceDemand.Neediest> need = demand.neediestBefore(precedence, fleet.sharing(service), nowMs);
+        Optional<ServiceDemand.Neediest> need = target.isLimitedHere()
+                ? neediestInTurn(target.limit().orElseThrow(), demand, precedence, nowMs)
+                : demand.neediestBefore(precedence, fleet.sharing(service), nowMs);
         if (need.isEmpty()) {
             return false;
         }
@@ -119,8 +126,16 @@
         return true;
     }
 
+    /** No other router serves the peers there, so calls that are as urgent as this router's have their turns as well. */
+    private static Optional<ServiceDemand.Neediest> neediestInTurn(
+            TargetLimit limit, ServiceDemand demand, int precedence, long nowMs) {
+        return demand.neediestInTurn(precedence, limit::servedAtMs, nowMs)
+                .filter(n -> n.demand().first() < precedence || limit.isTurnOf(n.peer()));
+    }
+
     private void reserve(String router, ServiceTargets service, ServiceDemand demand, TargetState target, long nowMs) {
         target.reserveForPeer(reservedUntilMs(nowMs), nowMs, heardAtMs(service, demand, nowMs));
+        target.limit().ifPresent(l -> l.served(router, nowMs));
         reserved.accept(router, target.incarnation());
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * What this router knows of one target: the registry's entry, its own calls there, what its peers say
@@ -37,6 +38,7 @@
 
     private Owners owners = Owners.ALL;
     private int group = ALL_GROUPS;
+    private Optional<TargetLimit> limit = Optional.empty();
 
     /** Whose a target's free slots are. */
     enum Owners {
@@ -95,7 +97,10 @@
     private void takeSlot(long nowMs, long heardAtMs) {
         if (isReservedForUs(nowMs)) {
             forUs.takeOne();
-        } else if (freedHere > 0) {
+            return;
+        }
+        limit.ifPresent(l -> l.use(nowMs));
+        if (freedHere > 0) {
             freedHere--;
         } else {
             unheard.add(heardAtMs);
@@ -176,10 +181,29 @@
     /** Slots free for this router: those a peer reserves for it count as taken in what the peer says. */
     int freeSlots(long nowMs) {
         int reserved = forUs.count(nowMs);
-        if (owners == Owners.ANOTHER_GROUP) {
+        if (owners == Owners.ANOTHER_GROUP || isLimitedElsewhere()) {
             return reserved;
         }
-        return info.slots() - calls() - forPeers.count(nowMs) + reserved;
+        int free = info.slots() - calls() - forPeers.count(nowMs) + reserved;
+        return limit.map(l -> Math.min(free, reserved + l.allows(nowMs))).orElse(free);
+    }
+
+    /** Sets its rate limit; empty while it names none. */
+    void limit(Optional<TargetLimit> now) {
+        limit = now;
+    }
+
+    Optional<TargetLimit> limit() {
+        return limit;
+    }
+
+    private boolean isLimitedElsewhere() {
+        return limit.isPresent() && !limit.get().isGivenOutHere();
+    }
+
+    /** Whether it has a rate limit that this router gives out. */
+    boolean isLimitedHere() {
+        return limit.isPresent() && limit.get().isGivenOutHere();
     }
 
     boolean hasRoom(long nowMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
@@ -14,6 +14,9 @@
     /** Enough for all targets of a large site to lapse at once; each takes less than a kilobyte. */
     private static final int DEPARTED_KEPT = 256;
 
+    /** More than the targets of the planned size that can be in need at once. */
+    private static final int LIMITS_KEPT = 4_096;
+
     private final String dataCentre;
     private final PlacementSettings settings;
     private final FleetView fleet;
@@ -30,6 +33,14 @@
         }
     };
 
+    /** Rate limits by incarnation, also of targets that are not registered yet. */
+    private final Map<String, TargetLimit> limits = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, TargetLimit> eldest) {
+            return size() > LIMITS_KEPT;
+        }
+    };
+
     private final Map<String, Map<String, TargetUse>> peerUses = new HashMap<>();
 
     /** A table without targets; see {@link ServiceTargets} for the parameters. */
@@ -51,6 +62,7 @@
                 .filter(d -> d.service().name().equals(info.service()))
                 .orElseGet(() -> newTarget(info));
         state.update(info);
+        state.limit(Optional.ofNullable(limits.get(state.incarnation())));
         state.service().add(state);
         targets.put(state.incarnation(), state);
         incarnations.put(info.id(), state.incarnation());
@@ -109,4 +121,48 @@
         }
         uses.forEach((id, use) -> byIncarnation(id).ifPresent(t -> t.peerUse(peer, use)));
     }
+
+    /**
+     * Notes that a target has named a rate limit.
+     *
+     * @param atMs when
+     * @return whether another one, or none, was known before
+     */
+    boolean limitNamed(String incarnation, double perSecond, long atMs) {
+        TargetLimit known = limits.get(incarnation);
+        if (known != null && known.perSecond() == perSecond) {
+            known.namedAgain(atMs);
+            return false;
+        }
+        TargetLimit limit = new TargetLimit(perSecond, atMs);
+        limits.put(incarnation, limit);
+        byIncarnation(incarnation).ifPresent(t -> limited(t, Optional.of(limit)));
+        return true;
+    }
+
+    /**
+     * Notes an answer that names no rate limit.
+     *
+     * @param sentAtMs when its call was sent; a limit that was named since stays
+     * @return whether a limit is over
+     */
+    boolean limitNotNamed(String incarnation, long sentAtMs) {
+        TargetLimit known = limits.get(incarnation);
+        if (known == null || known.namedAtMs() > sentAtMs) {
+            return false;
+        }
+        limits.remove(incarnation);
+        byIncarnation(incarnation).ifPresent(t -> limited(t, Optional.empty()));
+        return true;
+    }
+
+    private static void limited(TargetState target, Optional<TargetLimit> limit) {
+        target.limit(limit);
+        target.service().limitChanged();
+    }
+
+    /** Every rate limit that is known, by incarnation. */
+    Map<String, TargetLimit> limits() {
+        return limits;
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -160,6 +160,7 @@
         AnswerHead head = forwarder.protocol().readAnswer(r.statusCode(), r.headers(), owner.requestId());
         r.exceptionHandler(this::connectionLost);
         owner.limitNamed(head.limit());
+        forwarder.limited().answered(target, head, sentAtMs);
         if (head.foreign()) {
             endBroken("answer to another call");
         } else if (head.notRun()) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -32,6 +32,7 @@
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.TargetService;
 import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.peer.PeerMessage;
 
 /**
  * A forwarding router: callers' HTTP on one side, targets on the other, and between them the placement,
@@ -66,6 +67,7 @@
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
     private final CrashingRequests crashing;
+    private final LimitedTargets limited;
     private final PeersSide peersSide;
     private final PlannedStop stop;
     private final CallerConnections callers = new CallerConnections();
@@ -90,9 +92,9 @@
         this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
-        this.crashing =
-                new CrashingRequests(connections, metrics, message -> peers.tellAll(message), this::quarantined);
-        this.peersSide = new PeersSide(placement, quotas, crashing, metrics, this::usageHeard);
+        this.crashing = new CrashingRequests(connections, metrics, this::tellAll, this::quarantined);
+        this.limited = new LimitedTargets(placement, metrics, this::tellAll);
+        this.peersSide = new PeersSide(placement, quotas, crashing, limited, metrics, this::usageHeard);
     }
 
     /** Starts listening for callers and other routers; it refuses calls until it has a configuration. */
@@ -273,6 +275,7 @@
                 .put("targetConnectionsOpened", connections.opened())
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
                 .put("quarantined", new JsonObject(crashing.byRequest()))
+                .put("targetLimits", placement.limits().size())
                 .put("routersKnown", peers.known())
                 .put("routersHeardPart", peers.heardPart())));
         return out.future();
@@ -283,6 +286,10 @@
         pumpSoon();
     }
 
+    private void tellAll(PeerMessage.BetweenRouters message) {
+        peers.tellAll(message);
+    }
+
     private void quarantined(RequestFingerprint request) {
         List.copyOf(exchanges).stream()
                 .filter(x -> x.fingerprint().equals(request))
@@ -372,6 +379,10 @@
         return crashing;
     }
 
+    LimitedTargets limited() {
+        return limited;
+    }
+
     Freshness freshness() {
         return freshness;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeersSide.java
@@ -19,6 +19,7 @@
     private final Placement placement;
     private final WorkspaceQuotas quotas;
     private final CrashingRequests crashing;
+    private final LimitedTargets limited;
     private final ForwardingMetrics metrics;
     private final Runnable changed;
     private final List<PeerMessage.Usage> early = new ArrayList<>();
@@ -33,11 +34,13 @@
             Placement placement,
             WorkspaceQuotas quotas,
             CrashingRequests crashing,
+            LimitedTargets limited,
             ForwardingMetrics metrics,
             Runnable changed) {
         this.placement = placement;
         this.quotas = quotas;
         this.crashing = crashing;
+        this.limited = limited;
         this.metrics = metrics;
         this.changed = changed;
     }
@@ -132,8 +135,17 @@
     }
 
     @Override
-    public PeerMessage.Crashes crashes() {
-        return crashing.news();
+    public List<PeerMessage.BetweenRouters> knownToAll() {
+        List<PeerMessage.BetweenRouters> out = new ArrayList<>();
+        PeerMessage.Crashes crashes = crashing.news();
+        if (!crashes.crashes().isEmpty()) {
+            out.add(crashes);
+        }
+        PeerMessage.TargetLimits limits = limited.news();
+        if (!limits.limits().isEmpty()) {
+            out.add(limits);
+        }
+        return out;
     }
 
     @Override
@@ -141,6 +153,12 @@
         crashing.heard(crashes);
     }
 
+    @Override
+    public void limitsHeard(PeerMessage.TargetLimits limits) {
+        limited.heard(limits);
+        changed.run();
+    }
+
     @Override
     public void answeredWhole(PeerMessage.AnsweredWhole answered) {
         crashing.heard(answered);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.router.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -95,14 +96,17 @@
         /** Hears that a router of another group has calls that wait. */
         void slotsWanted(PeerMessage.SlotsWanted wanted);
 
-        /** Every crash that is known here, for a router that may know of none. */
-        PeerMessage.Crashes crashes();
+        /** What all routers are to know, for one that may know of none of it. */
+        List<PeerMessage.BetweenRouters> knownToAll();
 
         /** Hears of targets that ended while they ran requests. */
         void crashesHeard(PeerMessage.Crashes crashes);
 
         /** Hears that a request is no suspect. */
         void answeredWhole(PeerMessage.AnsweredWhole answered);
+
+        /** Hears of targets' rate limits. */
+        void limitsHeard(PeerMessage.TargetLimits limits);
     }
 
     private RouterPeers(Vertx vertx, ForwardingSettings settings, Side side) {
@@ -185,6 +189,7 @@
             case PeerMessage.SlotsWanted w -> side.slotsWanted(w);
             case PeerMessage.Crashes c -> side.crashesHeard(c);
             case PeerMessage.AnsweredWhole a -> side.answeredWhole(a);
+            case PeerMessage.TargetLimits l -> side.limitsHeard(l);
             default ->
                 LOG.warnf(
                         "unexpected message between routers type=%s",
@@ -237,7 +242,7 @@
             }
             if (link.connected()) {
                 if (link.startsAnew()) {
-                    tellCrashes(link);
+                    side.knownToAll().forEach(link::sendNow);
                 }
                 link.send(settings.routerId(), life, new PeerLink.State(news.apply(id), totals), side::windows, nowMs);
             } else {
@@ -249,13 +254,6 @@
                         r.router(), new PeerMessage.SlotsWanted(settings.routerId(), r.service(), r.waiting())));
     }
 
-    private void tellCrashes(PeerLink link) {
-        PeerMessage.Crashes crashes = side.crashes();
-        if (!crashes.crashes().isEmpty()) {
-            link.sendNow(crashes);
-        }
-    }
-
     /** Tells every router something at once. */
     void tellAll(PeerMessage.BetweenRouters message) {
         links.values().forEach(l -> l.tell(message));
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -50,6 +50,8 @@
         private final AtomicReference<PeerMessage.SlotsWanted> asked = new AtomicReference<>();
         private final Set<PeerMessage.CrashedAgo> crashes = ConcurrentHashMap.newKeySet();
         private final Set<PeerMessage.CrashedAgo> crashesHeard = ConcurrentHashMap.newKeySet();
+        private final Set<PeerMessage.LimitedAgo> limits = ConcurrentHashMap.newKeySet();
+        private final Set<PeerMessage.LimitedAgo> limitsHeard = ConcurrentHashMap.newKeySet();
         private final Set<RequestFingerprint> cleared = ConcurrentHashMap.newKeySet();
         private volatile boolean near = true;
         private final Vertx own = Vertx.vertx();
@@ -126,8 +128,14 @@
         }
 
         @Override
-        public PeerMessage.Crashes crashes() {
-            return new PeerMessage.Crashes(List.copyOf(crashes));
+        public List<PeerMessage.BetweenRouters> knownToAll() {
+            return List.of(
+                    new PeerMessage.Crashes(List.copyOf(crashes)), new PeerMessage.TargetLimits(List.copyOf(limits)));
+        }
+
+        @Override
+        public void limitsHeard(PeerMessage.TargetLimits message) {
+            limitsHeard.addAll(message.limits());
         }
 
         @Override
@@ -227,6 +235,20 @@
         b.stop();
     }
 
+    /** Guards against a router that goes on at full rate because it was not there when a target named its limit. */
+    @Test
+    void limitsOfTargetsAreToldToARouterThatComesLater() {
+        PeerMessage.LimitedAgo limit = new PeerMessage.LimitedAgo("t1", true, 2.5, 10);
+        Router a = new Router("a");
+        Router b = new Router("b");
+        a.limits.add(limit);
+        a.knows(b);
+        b.knows(a);
+        await(() -> b.limitsHeard.contains(limit));
+        a.stop();
+        b.stop();
+    }
+
     @Test
     void aRouterWhoseProcessEndedIsNotTakenForOneThatIsUnheard() {
         Router a = new Router("a");
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -41,6 +41,7 @@
     private static final int SLOTS_WANTED = 13;
     private static final int CRASHES = 14;
     private static final int ANSWERED_WHOLE = 15;
+    private static final int TARGET_LIMITS = 16;
     private static final int USAGE_FIELDS = 8;
     /** Routers of the version before said nothing of rates. */
     private static final int USAGE_FIELDS_BEFORE_RATES = 7;
@@ -50,6 +51,7 @@
 
     private static final int MAX_PREFIXES = 4_096;
     private static final int MAX_CRASHES = 65_536;
+    private static final int MAX_LIMITS = 16_384;
     /** Far above the targets and workspaces of the planned size; a larger map is not one of ours. */
     private static final int MAX_USAGE_ENTRIES = 16_384;
 
@@ -96,6 +98,7 @@
                 writeFingerprint(p, a.request());
                 p.packLong(a.agoMs());
             }
+            case PeerMessage.TargetLimits l -> writeLimits(p, l);
             case PeerMessage.OrderReply o ->
                 head(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -252,6 +255,7 @@
                 new PeerMessage.SlotsWanted(expect(u, fields, 3).unpackString(), u.unpackString(), readCounts(u));
             case CRASHES -> readCrashes(u, fields);
             case ANSWERED_WHOLE -> new PeerMessage.AnsweredWhole(readFingerprint(expect(u, fields, 3)), u.unpackLong());
+            case TARGET_LIMITS -> readLimits(u, fields);
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         expect(u, fields, 3).unpackLong(),
@@ -325,6 +329,27 @@
         return new PeerMessage.Crashes(crashes);
     }
 
+    private static void writeLimits(MessagePacker p, PeerMessage.TargetLimits l) throws IOException {
+        head(p, TARGET_LIMITS, 1).packArrayHeader(l.limits().size());
+        for (PeerMessage.LimitedAgo limit : l.limits()) {
+            p.packString(limit.incarnation()).packBoolean(limit.named());
+            p.packDouble(limit.perSecond()).packLong(limit.agoMs());
+        }
+    }
+
+    private static PeerMessage.TargetLimits readLimits(MessageUnpacker u, int fields) throws IOException {
+        int n = expect(u, fields, 1).unpackArrayHeader();
+        if (n > MAX_LIMITS) {
+            throw new WireException("too many limits: " + n);
+        }
+        List<PeerMessage.LimitedAgo> limits = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            limits.add(
+                    new PeerMessage.LimitedAgo(u.unpackString(), u.unpackBoolean(), u.unpackDouble(), u.unpackLong()));
+        }
+        return new PeerMessage.TargetLimits(limits);
+    }
+
     private static void writeFingerprint(MessagePacker p, RequestFingerprint f) throws IOException {
         p.packLong(f.high()).packLong(f.low());
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -201,4 +201,27 @@
      * @param agoMs how long ago
      */
     record AnsweredWhole(RequestFingerprint request, long agoMs) implements BetweenRouters {}
+
+    /**
+     * Rate limits that targets have named, or have ceased to name.
+     *
+     * @param limits each change, or all of them
+     */
+    record TargetLimits(List<LimitedAgo> limits) implements BetweenRouters {
+
+        /** Copies the list. */
+        public TargetLimits {
+            limits = List.copyOf(limits);
+        }
+    }
+
+    /**
+     * What a target's answer said of its rate limit.
+     *
+     * @param incarnation the start of the target
+     * @param named false when it named none
+     * @param perSecond requests a second that it takes from all routers together; 0 when it named none
+     * @param agoMs how long ago it named one, or the call was sent whose answer named none; routers' clocks differ
+     */
+    record LimitedAgo(String incarnation, boolean named, double perSecond, long agoMs) {}
 }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -92,10 +92,17 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(wanted)), equalTo(wanted));
         PeerMessage.Crashes crashes = crashes(life);
         assertThat(PeerCodec.decode(PeerCodec.encode(crashes)), equalTo(crashes));
+        PeerMessage.TargetLimits limits = limits(life);
+        assertThat(PeerCodec.decode(PeerCodec.encode(limits)), equalTo(limits));
         PeerMessage.AnsweredWhole answered = new PeerMessage.AnsweredWhole(new RequestFingerprint(life, 2), life);
         assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
     }
 
+    private static PeerMessage.TargetLimits limits(long number) {
+        return new PeerMessage.TargetLimits(List.of(
+                new PeerMessage.LimitedAgo("w1@7", true, 2.4, number), new PeerMessage.LimitedAgo("w2", false, 0, 7)));
+    }
+
     private static PeerMessage.Crashes crashes(long number) {
         RequestFingerprint request = new RequestFingerprint(number, -number);
         return new PeerMessage.Crashes(List.of(
@@ -120,6 +127,9 @@
         byte[] crashes = PeerCodec.encode(crashes(7));
         crashes[at % crashes.length] = damage;
         peerDecoderRejectsGarbageWithItsOwnError(crashes);
+        byte[] limits = PeerCodec.encode(limits(7));
+        limits[at % limits.length] = damage;
+        peerDecoderRejectsGarbageWithItsOwnError(limits);
         order[at % order.length] = damage;
         usage[at % usage.length] = damage;
         peerDecoderRejectsGarbageWithItsOwnError(usage);
