--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
@@ -126,7 +126,7 @@
         return true;
     }
 
-    /** No other router serves the peers there, so calls that are as urgent as this router's have their turns as well. */
+    /** No other router serves the peers there, so calls as urgent as this router's have their turns as well. */
     private static Optional<ServiceDemand.Neediest> neediestInTurn(
             TargetLimit limit, ServiceDemand demand, int precedence, long nowMs) {
         return demand.neediestInTurn(precedence, limit::servedAtMs, nowMs)
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallRecord.java
@@ -83,9 +83,10 @@
             forwarder.metrics().wholeMs(routeName, tookMs);
         }
         LOG.infof(
-                "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d promptTokens=%d"
-                        + " maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " target=%s targetCalls=%d limitPerSecond=%s sends=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
+                "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d"
+                        + " promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
+                        + " target=%s targetCalls=%d limitPerSecond=%s sends=%d"
+                        + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d troubles=\"%s\"",
                 requestId,
                 fingerprint,
