TargetRegistry: the registered targets out of Forwarder

What is known of registrations, their lapse and their end moves to a class of its own; no behaviour changes.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -23,10 +23,8 @@
 import org.onyxhinge.core.place.AnswerLengths;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallerDeadlines;
-import org.onyxhinge.core.place.LapsedTargets;
 import org.onyxhinge.core.place.Placement;
 import org.onyxhinge.core.place.PlacementSettings;
-import org.onyxhinge.core.place.Target;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.ForwardingConfig;
@@ -62,7 +60,6 @@
     private final AnswerLengths lengths = new AnswerLengths();
     private final CallerDeadlines deadlines = CallerDeadlines.create();
     private final TargetConnections connections;
-    private final LapsedTargets lapsed = LapsedTargets.create();
     private final Set<Attempt> attempts = new HashSet<>();
     private final Set<Exchange> exchanges = new HashSet<>();
     private final Set<Exchange> early = new LinkedHashSet<>();
@@ -76,6 +73,7 @@
     private WaitingExchanges waiting;
     private RouterPeers peers;
     private FleetRecords records;
+    private TargetRegistry targets;
     private HttpServer server;
 
     private Forwarder(
@@ -109,6 +107,7 @@
         f.context = vertx.getOrCreateContext();
         f.intake = new Intake(vertx, f.context, f.metrics);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
+        f.targets = new TargetRegistry(f.context, f.placement, f.crashing, f::pumpSoon);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
     }
@@ -191,31 +190,9 @@
         });
     }
 
-    /** Takes a registry entry of a target in. */
-    public void targetSeen(Target target) {
-        context.runOnContext(v -> {
-            lapsed.settled(target.id());
-            Optional<TargetState> replaced = placement.targetSeen(target);
-            replaced.ifPresent(t -> crashing.ended(t.incarnation()));
-            pumpSoon();
-        });
-    }
-
-    /** Takes a target out that is no longer registered. */
-    public void targetGone(String id) {
-        context.runOnContext(v -> {
-            lapsed.settled(id);
-            gone(id);
-        });
-    }
-
-    private void gone(String id) {
-        placement.targetGone(id).ifPresent(t -> crashing.ended(t.incarnation()));
-    }
-
-    /** Notes that a target's registration is missing after the registry was away; it may soon be back. */
-    public void targetLapsed(String id) {
-        context.runOnContext(v -> lapsed.lapsed(id, MonotonicClock.nowMs()));
+    /** The targets, as they are registered. */
+    public TargetRegistry targets() {
+        return targets;
     }
 
     /**
@@ -322,10 +299,7 @@
             }
         }
         silent.forEach(a -> a.silent(nowMs));
-        for (String id : lapsed.due(nowMs)) {
-            LOG.infof("target gone id=%s why=\"not registered again after the registry was away\"", id);
-            gone(id);
-        }
+        targets.sweep(nowMs);
         connections.sweep(
                 id -> placement.target(id).map(TargetState::takesCalls).orElse(false));
         quotas.heardPart(peers.heardPart());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingNode.java
@@ -52,12 +52,12 @@
             inForce.targets().stream()
                     .map(Target::id)
                     .filter(id -> !targets.containsKey(id))
-                    .forEach(forwarder::targetGone);
+                    .forEach(forwarder.targets()::gone);
             inForce.routers().keySet().stream()
                     .filter(id -> !newer.routers().containsKey(id))
                     .forEach(forwarder::routerGone);
         }
-        targets.values().forEach(forwarder::targetSeen);
+        targets.values().forEach(forwarder.targets()::seen);
         newer.routers().forEach((id, router) -> forwarder.routerSeen(id, router.address(), router.dataCentre()));
         forwarder.configure(newer.config());
         inForce = newer;
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RevokedKeyTest.java
@@ -85,7 +85,7 @@
         Forwarder f = Launch.await(
                 Forwarder.start(Vertx.vertx(), setup.settings(), protocol, freshness, new MetricRegistry()),
                 TIMEOUT_MS);
-        setup.targets().forEach(f::targetSeen);
+        setup.targets().forEach(f.targets()::seen);
         f.configure(setup.config());
         f.confirmed(freshness.stampMs());
         return f;
