A limited target that could not be reached is tried within its limit

On probation a limited target is tried as its limit allows. Comments of the limit's constants reworded.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetLimit.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetLimit.java
@@ -12,13 +12,13 @@
  */
 final class TargetLimit {
 
-    /** Of a limit below this, or of 0, so much is used all the same: only an answer tells that a limit has ended. */
+    /** Lower limits, 0 included, are raised to this: only an answer can tell that a limit has ended. */
     private static final double LEAST_PER_SECOND = 0.2;
 
-    /** A target that costs more than others gets a call after so long all the same, for the same reason. */
+    /** After so long without a call the target is preferred whatever it costs, for the same reason. */
     private static final long LONGEST_UNUSED_MS = 2_000;
 
-    /** What a target has not been given while it was free to take is not made up for later. */
+    /** Tokens that may gather: a target in need is not to get a burst after a pause. */
     private static final double MOST_AT_ONCE = 1;
 
     private final double perSecond;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -210,7 +210,8 @@
         if (!takesCalls() || health.paused(nowMs)) {
             return false;
         }
-        return health.onProbation() ? ownCalls == 0 : freeSlots(nowMs) > 0;
+        // On probation it gets one call of each router, unless it takes only so many from all of them.
+        return health.onProbation() && limit.isEmpty() ? ownCalls == 0 : freeSlots(nowMs) > 0;
     }
 
     double failureRate() {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/LimitedTargetTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/LimitedTargetTest.java
@@ -173,6 +173,18 @@
             assertThat(sentTo("limited") - before, lessThanOrEqualTo(allowed(PER_SECOND)));
         }
 
+        /** Guards against every router trying a limited target by itself once none has reached it for a while. */
+        @Test
+        void aTargetThatCouldNotBeReachedIsTriedWithinItsLimit() {
+            fleet(33, "limited", "free");
+            nameLimit("limited");
+            for (Placement p : routers) {
+                p.unreachable(p.target("limited").orElseThrow(), nowMs);
+            }
+            run();
+            assertThat(sentTo("limited"), lessThanOrEqualTo(allowed(PER_SECOND)));
+        }
+
         @Test
         void aLimitOfNothingIsTriedNowAndThen() {
             fleet(5, "limited", "free");
