--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
@@ -54,6 +54,7 @@
                         .include(SchedulerBenchmark.class.getSimpleName())
                         .include(PeerCodecBenchmark.class.getSimpleName())
                         .include(PlacementBenchmark.class.getSimpleName())
+                        .include(QuarantineBenchmark.class.getSimpleName())
                         .forks(1)
                         .warmupIterations(2)
                         .warmupTime(TimeValue.seconds(1))
--- /dev/null
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/QuarantineBenchmark.java
@@ -0,0 +1,57 @@
+package org.onyxhinge.tools.capacity;
+
+import java.util.concurrent.TimeUnit;
+
+import org.onyxhinge.core.quarantine.Crash;
+import org.onyxhinge.core.quarantine.Quarantine;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** What the quarantine costs each call: its fingerprint, two looks, and the note of its whole answer. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class QuarantineBenchmark {
+
+    private static final long NOW_MS = 1_000;
+
+    /** Size of the call's body: a short question, and a prompt of about 6,600 tokens. */
+    @Param({"200", "26000"})
+    public int bodyBytes;
+
+    /** Requests that are suspects meanwhile. */
+    @Param({"0", "1000"})
+    public int suspects;
+
+    private Quarantine quarantine;
+    private byte[] body;
+    private int call;
+
+    /** Notes the suspects. */
+    @Setup(Level.Iteration)
+    public void fill() {
+        quarantine = Quarantine.create();
+        for (int i = 0; i < suspects; i++) {
+            quarantine.crashed(new Crash(new RequestFingerprint(i, i), "t", NOW_MS), NOW_MS);
+        }
+        body = new byte[bodyBytes];
+    }
+
+    /** One call; each is another request. */
+    @Benchmark
+    public boolean fingerprintAndLooks() {
+        body[0] = (byte) call;
+        body[1] = (byte) (call++ >> Byte.SIZE);
+        RequestFingerprint request = RequestFingerprint.of("agency", "POST", "letters.example", "/draft/1", body);
+        boolean held = quarantine.holds(request, NOW_MS) || quarantine.holds(request, NOW_MS);
+        return held || quarantine.answered(request, NOW_MS);
+    }
+}
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetResult.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetResult.java
@@ -10,8 +10,15 @@
  * @param seed its seed
  * @param kinds what became of each kind of request
  * @param mostAtOnce most requests an engine had at once, against its slots
+ * @param limitsUsed what each engine got that named a rate limit
  */
-record FleetResult(String policy, LoadPattern pattern, long seed, List<KindTally> kinds, double mostAtOnce) {
+record FleetResult(
+        String policy,
+        LoadPattern pattern,
+        long seed,
+        List<KindTally> kinds,
+        double mostAtOnce,
+        List<LimitUse> limitsUsed) {
 
     /** What was earned of what all requests on time would have earned. */
     double worth() {
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetSimulation.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 
 import org.onyxhinge.core.engine.EngineSpec;
@@ -43,6 +44,7 @@
         s.makeRouters();
         s.spec.kinds().forEach(s::askFor);
         s.loseEngines();
+        s.limitEngines();
         double longest =
                 spec.kinds().stream().mapToDouble(RequestKind::deadlineMs).max().orElse(0);
         s.time.runUntil(LoadPattern.LENGTH_MS + longest);
@@ -50,7 +52,7 @@
                 .mapToDouble(e -> (double) e.mostAtOnce() / e.target().slots())
                 .max()
                 .orElse(0);
-        return new FleetResult(policy.label(), pattern, seed, s.tallies, most);
+        return new FleetResult(policy.label(), pattern, seed, s.tallies, most, s.limitsUsed());
     }
 
     private String dataCentre(int i) {
@@ -86,6 +88,9 @@
                         from.placement().routerSeen(all.get(j).id(), dataCentre(j));
                     }
                 }
+                from.tellLimits((incarnation, limit, atMs) -> all.stream()
+                        .filter(to -> to != from)
+                        .forEach(to -> time.after(PeerTalk.DELAY_MS, () -> to.limitHeard(incarnation, limit, atMs))));
                 PeerTalk talk = new PeerTalk(time, from, all);
                 time.every(PEERS_CHECK_MS * i / routers.size(), PEERS_CHECK_MS, talk::beat);
             }
@@ -145,4 +150,23 @@
         time.after(LoadPattern.LOST_FROM_MS, () -> engines.subList(0, lost).forEach(SimEngine::lose));
         time.after(LoadPattern.LOST_UNTIL_MS, () -> engines.subList(0, lost).forEach(SimEngine::back));
     }
+
+    private List<SimEngine> limited() {
+        return engines.subList(0, (int) Math.round(engines.size() * pattern.limitedPart()));
+    }
+
+    private void limitEngines() {
+        OptionalDouble limit = OptionalDouble.of(LoadPattern.LIMIT_PER_SECOND);
+        time.after(LoadPattern.LOST_FROM_MS, () -> limited().forEach(e -> e.nameLimit(limit)));
+        time.after(LoadPattern.LIMITED_UNTIL_MS, () -> limited().forEach(e -> e.nameLimit(OptionalDouble.empty())));
+    }
+
+    /** What limited engines got, once all routers could know of it. */
+    private List<LimitUse> limitsUsed() {
+        double fromMs = LoadPattern.LOST_FROM_MS + LimitUse.KNOWN_WITHIN_MS;
+        double untilMs = LoadPattern.LIMITED_UNTIL_MS;
+        return limited().stream()
+                .map(e -> new LimitUse(e.mostWithin(LimitUse.WINDOW_MS, fromMs, untilMs), e.within(fromMs, untilMs)))
+                .toList();
+    }
 }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/LoadPattern.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/LoadPattern.java
@@ -29,11 +29,19 @@
                     new Surge(17_000, 2_500, 1.8, Who.ALL)),
             0),
     /** A burst of 1.5 times for 5 s while a quarter of the engines is lost for 4 s. */
-    ENGINE_LOSS(List.of(new Surge(6_000, 5_000, 1.5, Who.ALL)), 0.25);
+    ENGINE_LOSS(List.of(new Surge(6_000, 5_000, 1.5, Who.ALL)), 0.25),
+    /** A sixth of the engines name a limit of a few requests a second for 10 s, under the usual load and a burst. */
+    LIMITED_ENGINES(List.of(new Surge(12_000, 4_000, 1.3, Who.ALL)), 0, 1.0 / 6);
 
-    /** When engines are lost, in {@link #ENGINE_LOSS}. */
+    /** When engines are lost, in {@link #ENGINE_LOSS}, or name their limits, in {@link #LIMITED_ENGINES}. */
     static final double LOST_FROM_MS = 8_000;
 
+    /** When they name none any more. */
+    static final double LIMITED_UNTIL_MS = 18_000;
+
+    /** What they name; the users' engines name 2 to 4. */
+    static final double LIMIT_PER_SECOND = 2.4;
+
     /** When they are back. */
     static final double LOST_UNTIL_MS = 12_000;
 
@@ -45,6 +53,7 @@
 
     private final List<Surge> surges;
     private final double lostPart;
+    private final double limitedPart;
 
     /** Whose requests a surge multiplies. */
     enum Who {
@@ -68,8 +77,13 @@
     }
 
     LoadPattern(List<Surge> surges, double lostPart) {
+        this(surges, lostPart, 0);
+    }
+
+    LoadPattern(List<Surge> surges, double lostPart, double limitedPart) {
         this.surges = surges;
         this.lostPart = lostPart;
+        this.limitedPart = limitedPart;
     }
 
     /** Requests of a workspace at a time, against the usual. */
@@ -86,6 +100,11 @@
         return lostPart;
     }
 
+    /** Part of the engines that name a limit for a while. */
+    double limitedPart() {
+        return limitedPart;
+    }
+
     /** Its name on the command line. */
     String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/ProductRouter.java
@@ -5,6 +5,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -40,6 +41,20 @@
     private final Map<SimTry, Flight> flights = new IdentityHashMap<>();
     private final Map<SimTry, Call> calls = new IdentityHashMap<>();
     private final Map<SimTry, CallTimes> times = new IdentityHashMap<>();
+    private LimitNews limitNews = (incarnation, limit, atMs) -> {};
+
+    /** Hears what is news of an engine's rate limit, for the other routers. */
+    @FunctionalInterface
+    interface LimitNews {
+
+        /**
+         * An answer said something new.
+         *
+         * @param limit the limit it named; empty for none
+         * @param atMs when it named it, or its call was sent
+         */
+        void accept(String incarnation, OptionalDouble limit, long atMs);
+    }
 
     /** A call at an engine. */
     private static final class Flight {
@@ -85,6 +100,11 @@
         return placement;
     }
 
+    /** Sets who hears what is news of rate limits. */
+    void tellLimits(LimitNews listener) {
+        limitNews = listener;
+    }
+
     /** Notes what a peer says of its calls. */
     void heard(String peer, PeerNews news) {
         placement.peerUses(peer, news.uses());
@@ -195,6 +215,7 @@
         switch (p) {
             case EVENT -> {
                 if (flight.events++ == 0) {
+                    limitRead(flight);
                     placement.firstByte(flight.call, flight.target, nowMs - flight.sentAtMs, flight.tokensToRead);
                 } else {
                     flight.target.learnGap(nowMs - flight.heardAtMs);
@@ -217,6 +238,23 @@
         }
     }
 
+    /** Reads what an answer's head says of the engine's rate limit, and tells the others what is news. */
+    private void limitRead(Flight flight) {
+        String incarnation = flight.target.incarnation();
+        OptionalDouble limit = engines.get(flight.target.info().id()).limitPerSecond();
+        long atMs = limit.isPresent() ? time.wholeMs() : (long) flight.sentAtMs;
+        if (limitHeard(incarnation, limit, atMs)) {
+            limitNews.accept(incarnation, limit, atMs);
+        }
+    }
+
+    /** Takes in what an answer said of a rate limit; true when that is news. */
+    boolean limitHeard(String incarnation, OptionalDouble limit, long atMs) {
+        return limit.isPresent()
+                ? placement.limitNamed(incarnation, limit.getAsDouble(), atMs)
+                : placement.limitNotNamed(incarnation, atMs);
+    }
+
     private void end(SimTry t, Flight flight) {
         flights.remove(t);
         calls.remove(t);
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/SimEngine.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/SimEngine.java
@@ -1,8 +1,11 @@
 package org.onyxhinge.tools.fleet;
 
+import java.util.ArrayList;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 import org.onyxhinge.core.engine.EngineModel;
@@ -19,8 +22,10 @@
     private final EngineModel model;
     private final Map<EngineRun, Consumer<Progress>> listeners = new IdentityHashMap<>();
     private boolean stepping;
+    private final List<Double> arrivalsAtMs = new ArrayList<>();
     private boolean lost;
     private int mostAtOnce;
+    private OptionalDouble limitPerSecond = OptionalDouble.empty();
 
     /** What a run's caller hears. */
     enum Progress {
@@ -48,8 +53,33 @@
         return mostAtOnce;
     }
 
+    /** Names a rate limit in every answer that begins from now on; empty for none. */
+    void nameLimit(OptionalDouble perSecond) {
+        limitPerSecond = perSecond;
+    }
+
+    OptionalDouble limitPerSecond() {
+        return limitPerSecond;
+    }
+
+    /** Requests that reached it within a span. */
+    int within(double fromMs, double untilMs) {
+        return (int)
+                arrivalsAtMs.stream().filter(at -> at >= fromMs && at < untilMs).count();
+    }
+
+    /** The most requests that reached it within any window of a span. */
+    int mostWithin(double windowMs, double fromMs, double untilMs) {
+        return arrivalsAtMs.stream()
+                .filter(at -> at >= fromMs && at < untilMs)
+                .mapToInt(at -> within(at, Math.min(at + windowMs, untilMs)))
+                .max()
+                .orElse(0);
+    }
+
     /** Takes a request; false when it is not run. */
     boolean submit(EngineRun run, Consumer<Progress> listener) {
+        arrivalsAtMs.add(time.nowMs());
         if (lost || !model.submit(run)) {
             return false;
         }
