--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -24,7 +24,7 @@
 
     /**
      * Each rank may use this part of what its workspace uses, whatever the more urgent ones ask for, so that none is
-     * shut out while the workspace is at its limit. The smallest kind of the users' sheets asks for 15 % of the units.
+     * shut out while the workspace is at its limit.
      */
     private static final double LEAST_PART = 0.1;
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PeerCadence.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PeerCadence.java
@@ -9,10 +9,7 @@
     /** While places are free routers seldom take the same one, and little need be said. */
     private static final long SEND_MS = 60;
 
-    /**
-     * While calls wait each place that falls free is wanted by several routers. On the simulated fleet's heaviest
-     * pattern 20 ms instead of 60 puts 1 % more of the worth on time; 10 ms brings no more.
-     */
+    /** While calls wait each slot that falls free is wanted by several routers. */
     private static final long SEND_BUSY_MS = 20;
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RankShares.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RankShares.java
@@ -12,11 +12,9 @@
 final class RankShares {
 
     /**
-     * Each rank has this part of what all calls have of their requests sent, whatever the more urgent ones ask for. The
-     * users call a kind of request shut out below a quarter; the rest is for what is sent and not answered, and for
-     * routers that are cut off. On the simulated fleet's overload (39 engines, 3 seeds) it takes the last kind from 0.6
-     * to 14 % answered with 31 routers and from 2.8 to 17 % with 4, where all are to a third, and costs 2.8 and 0.8 %
-     * of the worth; 0.35 leaves it 9.7 % with 31, close to the quarter.
+     * Each rank has this part of what all calls have of their requests sent, whatever the more urgent ones ask for. A
+     * kind of request counts as shut out below a quarter; the rest is for what is sent and not answered, and for
+     * routers that are cut off.
      */
     private static final double LEAST_PART = 0.5;
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/UsageKeeper.java
@@ -9,7 +9,7 @@
 /**
  * Keeps the record of what workspaces have used in the key-value service. One router writes it, so it costs two writes
  * a second whatever the size of the fleet. Without it routers that all start again presume nine tenths of each limit as
- * used, and refuse workspaces within their limits for the first seconds (a fifth of the calls).
+ * used, and refuse workspaces within their limits for the first seconds.
  */
 public final class UsageKeeper {
 
