The last router that can be asked for room is not passed over after 25 ms

Where others can be asked, turns are as short as before. theLastRouterThatCanBeAskedIsNotPassedOverAfterATurn failed with the old rule (r3 was passed over at 140 ms and the answer at 400 ms dropped).

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/RouterHub.java
@@ -26,6 +26,9 @@
 
     private static final Logger LOG = Logger.getLogger(RouterHub.class);
     private static final long ROOM_TURN_MS = 25;
+    /** Beyond this a router is away, and so is most likely whoever asked for room. */
+    private static final long ROOM_LAST_TURN_MS = 1_000;
+
     private static final long ROOM_TICK_MS = 5;
 
     private final Vertx vertx;
@@ -33,7 +36,7 @@
     private final AgentOrders orders;
     private final PeerTraffic traffic = new PeerTraffic();
     private final Map<String, PeerConnection> byRouter = new TreeMap<>();
-    private final RoomBroker rooms = RoomBroker.create(ROOM_TURN_MS);
+    private final RoomBroker rooms = RoomBroker.create(ROOM_TURN_MS, ROOM_LAST_TURN_MS);
     private NetServer server;
     private long roomTimer = -1;
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/room/RoomBroker.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/room/RoomBroker.java
@@ -20,16 +20,23 @@
 public final class RoomBroker {
 
     private final long turnMs;
+    private final long lastTurnMs;
     private final Map<Long, Ask> byTurn = new HashMap<>();
     private long nextTurnId = 1;
 
-    private RoomBroker(long turnMs) {
+    private RoomBroker(long turnMs, long lastTurnMs) {
         this.turnMs = turnMs;
+        this.lastTurnMs = lastTurnMs;
     }
 
-    /** Creates a broker that gives each router {@code turnMs} to answer. */
-    public static RoomBroker create(long turnMs) {
-        return new RoomBroker(turnMs);
+    /**
+     * Creates a broker.
+     *
+     * @param turnMs how long a router has to answer while others can be asked
+     * @param lastTurnMs how long the last one has; who asks gives up by its request's own budget
+     */
+    public static RoomBroker create(long turnMs, long lastTurnMs) {
+        return new RoomBroker(turnMs, lastTurnMs);
     }
 
     /** A router wants room for a request of {@code rank}; {@code routers} are all that use the engine. */
@@ -96,7 +103,7 @@
         }
         long turnId = nextTurnId++;
         ask.askedRouter = turn.routerId();
-        ask.turnEndsAtMs = nowMs + turnMs;
+        ask.turnEndsAtMs = nowMs + (ask.othersCanBeAsked() ? turnMs : lastTurnMs);
         byTurn.put(turnId, ask);
         return List.of(new RoomStep.AskRouter(turn.routerId(), turnId, turn.rank()));
     }
@@ -108,6 +115,10 @@
             turns.removeIf(t -> t.routerId().equals(askedRouter));
         }
 
+        private boolean othersCanBeAsked() {
+            return turns.stream().anyMatch(t -> !t.routerId().equals(askedRouter));
+        }
+
         private final String routerId;
         private final long askId;
         private final Deque<RoomStep.AskRouter> turns;
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/room/RoomProperties.java
@@ -43,6 +43,7 @@
         new Tier("bronze", 2, 500, 1_000, 1_000_000)
     };
     private static final long TURN_MS = 20;
+    private static final long LAST_TURN_MS = 1_000;
 
     @Property(tries = 150, seed = "11")
     void noTierIsShedWhileAnyRouterRunsALowerOne(
@@ -59,7 +60,7 @@
     /** A busy machine: a router stops a request, but its answer comes after its turn. */
     @Example
     void aRouterThatDoesNotAnswerIsPassedOverAndNotAskedAgainForTheSameRequest() {
-        RoomBroker broker = RoomBroker.create(TURN_MS);
+        RoomBroker broker = RoomBroker.create(TURN_MS, LAST_TURN_MS);
         assertThat(broker.requested("r1", 7, 0, List.of("r1", "r2", "r3"), 100), contains((RoomStep)
                 new RoomStep.AskRouter("r2", 1, 1)));
         assertThat(broker.tick(119), empty());
@@ -71,6 +72,20 @@
         assertThat(broker.open(), equalTo(0));
     }
 
+    /** Guards against refusing a higher tier beside a lower one since the only router to ask was late by some ms. */
+    @Example
+    void theLastRouterThatCanBeAskedIsNotPassedOverAfterATurn() {
+        RoomBroker broker = RoomBroker.create(TURN_MS, LAST_TURN_MS);
+        broker.requested("r1", 7, 0, List.of("r1", "r2", "r3"), 100);
+        assertThat(broker.tick(120), contains((RoomStep) new RoomStep.AskRouter("r3", 2, 1)));
+        assertThat(broker.tick(120 + LAST_TURN_MS - 1), empty());
+        assertThat(broker.answered("r3", 2, true, 400), contains((RoomStep) new RoomStep.Answer("r1", 7, true)));
+        broker.requested("r1", 8, 0, List.of("r1", "r2"), 1_000);
+        assertThat("it is away", broker.tick(1_000 + LAST_TURN_MS), contains((RoomStep)
+                new RoomStep.Answer("r1", 8, false)));
+        assertThat(broker.open(), equalTo(0));
+    }
+
     /** Routers and brokers with messages delivered in order and at once. */
     private static final class Fleet {
         private final Random random;
@@ -91,7 +106,7 @@
             for (int i = 0; i < engineCount; i++) {
                 String id = "e" + i;
                 engines.put(id, new EngineInfo(id, "p", "h", i, 1 + random.nextInt(3), 1_000_000_000, 1_000, false));
-                brokers.put(id, RoomBroker.create(TURN_MS));
+                brokers.put(id, RoomBroker.create(TURN_MS, LAST_TURN_MS));
             }
             for (int i = 0; i < routerCount; i++) {
                 Scheduler s = Scheduler.create(settings);
