A target that ended is known though its address could still be connected to

The log shows no "target ended" for the first: the router's try of its address succeeded, because the engine's listener was closed a moment after its connections, and one connection made was taken as proof of life. In the field a killed process closes its sockets one after the other as well.

A connection that is made proves nothing now. The address is tried up to three times, 150 ms apart; what shows that a target lives is bytes from that very start of it, later than 250 ms after the break (what was on its way). Calls that broke before such bytes are not blamed when it ends later.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -354,11 +354,6 @@
         return out;
     }
 
-    /** When bytes last came from a target; 0 for never. */
-    public long heardAtMs(TargetState target) {
-        return target.health().heardAtMs();
-    }
-
     /** Calls waiting, by service, for dumps. */
     public Map<String, Integer> waitingByService() {
         Map<String, Integer> out = new TreeMap<>();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -280,6 +280,11 @@
         freedHere = 0;
     }
 
+    /** When bytes last came from it; 0 for never. */
+    public long heardAtMs() {
+        return health.heardAtMs();
+    }
+
     TargetHealth health() {
         return health;
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/BrokenCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/BrokenCalls.java
@@ -16,6 +16,9 @@
     /** A target that ended is known as such within this: its registration lapses after a few missed heartbeats. */
     private static final long KNOWN_WITHIN_MS = 10_000;
 
+    /** Bytes that a target sent before it ended may be read so much later than the end of a connection to it. */
+    private static final long ON_THE_WAY_MS = 250;
+
     private final Map<String, List<Crash>> byIncarnation = new HashMap<>();
 
     private BrokenCalls() {}
@@ -33,17 +36,28 @@
         return calls.size() == 1;
     }
 
-    /** Takes out the calls that broke at an incarnation which has ended. */
-    public List<Crash> ended(String incarnation, long nowMs) {
+    /**
+     * Whether an incarnation may have ended when calls broke there: it has not been heard since.
+     *
+     * @param heardAtMs when bytes last came from it
+     */
+    public boolean mayHaveEnded(String incarnation, long heardAtMs) {
+        List<Crash> calls = byIncarnation.get(incarnation);
+        return calls != null && heardAtMs <= calls.getLast().atMs() + ON_THE_WAY_MS;
+    }
+
+    /**
+     * Takes out the calls that broke at an incarnation which has ended, less those after which it was still heard.
+     *
+     * @param heardAtMs when bytes last came from it
+     */
+    public List<Crash> ended(String incarnation, long heardAtMs, long nowMs) {
         List<Crash> calls = byIncarnation.remove(incarnation);
         if (calls == null) {
             return List.of();
         }
-        return calls.stream().filter(c -> nowMs - c.atMs() <= KNOWN_WITHIN_MS).toList();
-    }
-
-    /** Forgets the calls that broke at an incarnation which goes on. */
-    public void lives(String incarnation) {
-        byIncarnation.remove(incarnation);
+        return calls.stream()
+                .filter(c -> nowMs - c.atMs() <= KNOWN_WITHIN_MS && heardAtMs <= c.atMs() + ON_THE_WAY_MS)
+                .toList();
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashingRequests.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashingRequests.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
+import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.BrokenCalls;
@@ -23,8 +24,14 @@
 
     private static final Logger LOG = Logger.getLogger(CrashingRequests.class);
 
+    /** Within these tries a process that has ended is known by the refusal of one, or was heard if it has not. */
+    private static final int PROBES = 3;
+
+    private static final long PROBE_AGAIN_MS = 150;
+
     private final Quarantine quarantine = Quarantine.create();
     private final BrokenCalls broken = BrokenCalls.create();
+    private final Vertx vertx;
     private final TargetConnections connections;
     private final ForwardingMetrics metrics;
     private final Consumer<PeerMessage.BetweenRouters> tellAll;
@@ -37,10 +44,12 @@
      * @param quarantined called when a request is quarantined, so that no call of it goes on
      */
     CrashingRequests(
+            Vertx vertx,
             TargetConnections connections,
             ForwardingMetrics metrics,
             Consumer<PeerMessage.BetweenRouters> tellAll,
             Consumer<RequestFingerprint> quarantined) {
+        this.vertx = vertx;
         this.connections = connections;
         this.metrics = metrics;
         this.tellAll = tellAll;
@@ -50,27 +59,36 @@
     /** Notes that a connection broke while a target ran a request, and finds out whether the target has ended. */
     void broke(RequestFingerprint request, TargetState target) {
         // One that leaves on purpose may end with calls in progress; that says nothing against them.
-        if (!target.takesCalls() || !broken.broke(request, target.incarnation(), MonotonicClock.nowMs())) {
-            return;
+        if (target.takesCalls() && broken.broke(request, target.incarnation(), MonotonicClock.nowMs())) {
+            probe(target, PROBES);
+        }
+    }
+
+    /**
+     * Tries a target's address. A connection that is made proves little: a process that ends may be connected to until
+     * the last of its sockets is closed, and another may soon listen there.
+     */
+    private void probe(TargetState target, int probesLeft) {
+        if (probesLeft > 0 && broken.mayHaveEnded(target.incarnation(), target.heardAtMs())) {
+            connections
+                    .probe(target.info())
+                    .onSuccess(v -> vertx.setTimer(PROBE_AGAIN_MS, t -> probe(target, probesLeft - 1)))
+                    .onFailure(e -> notReached(target, e));
         }
-        connections
-                .probe(target.info())
-                .onSuccess(v -> broken.lives(target.incarnation()))
-                .onFailure(e -> notReached(target, e));
     }
 
     /** Notes that no connection to a target could be made. */
     void notReached(TargetState target, Throwable e) {
         if (ConnectErrors.refused(e)) {
-            ended(target.incarnation());
+            ended(target);
         }
     }
 
     /** Notes that a start of a target is over. */
-    void ended(String incarnation) {
-        List<Crash> crashes = broken.ended(incarnation, MonotonicClock.nowMs());
+    void ended(TargetState target) {
+        List<Crash> crashes = broken.ended(target.incarnation(), target.heardAtMs(), MonotonicClock.nowMs());
         if (!crashes.isEmpty()) {
-            LOG.infof("target ended incarnation=%s requests=%s", incarnation, requests(crashes));
+            LOG.infof("target ended incarnation=%s requests=%s", target.incarnation(), requests(crashes));
             takeIn(crashes);
             tellAll.accept(message(crashes));
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -90,7 +90,7 @@
         this.stop = new PlannedStop(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
-        this.crashing = new CrashingRequests(connections, metrics, this::tellAll, this::quarantined);
+        this.crashing = new CrashingRequests(vertx, connections, metrics, this::tellAll, this::quarantined);
         this.limited = new LimitedTargets(placement, metrics, this::tellAll);
         this.peersSide = new PeersSide(placement, quotas, crashing, limited, metrics, this::usageHeard);
     }
@@ -294,7 +294,7 @@
         config.logKeysBelieved();
         List<Attempt> silent = new ArrayList<>();
         for (Attempt a : attempts) {
-            if (Silence.tooLong(a, placement, nowMs)) {
+            if (Silence.tooLong(a, nowMs)) {
                 silent.add(a);
             }
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Silence.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Silence.java
@@ -1,7 +1,5 @@
 package org.onyxhinge.router.forward;
 
-import org.onyxhinge.core.place.Placement;
-
 /**
  * When a target's silence means that it, or the connection to it, is gone. An open connection can fall
  * silent for good without a reset; engines make events every few tens of ms, so a second without any
@@ -16,13 +14,13 @@
 
     private Silence() {}
 
-    static boolean tooLong(Attempt a, Placement placement, long nowMs) {
+    static boolean tooLong(Attempt a, long nowMs) {
         if (!a.repeatable() || a.silentMs(nowMs) < SILENT_MS) {
             return false;
         }
         double readingMs =
                 a.firstByteSeen() ? 0 : PREFILL_ALLOWANCE * a.target().firstByteMs(a.call());
-        boolean targetSilent = nowMs - placement.heardAtMs(a.target()) >= SILENT_MS + readingMs;
+        boolean targetSilent = nowMs - a.target().heardAtMs() >= SILENT_MS + readingMs;
         return targetSilent && a.silentMs(nowMs) >= SILENT_MS + readingMs;
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -38,7 +38,7 @@
         context.runOnContext(v -> {
             lapsed.settled(target.id());
             Optional<TargetState> replaced = placement.targetSeen(target);
-            replaced.ifPresent(t -> crashing.ended(t.incarnation()));
+            replaced.ifPresent(crashing::ended);
             changed.run();
         });
     }
@@ -57,7 +57,7 @@
     }
 
     private void takeOut(String id) {
-        placement.targetGone(id).ifPresent(t -> crashing.ended(t.incarnation()));
+        placement.targetGone(id).ifPresent(crashing::ended);
     }
 
     /** Takes out the targets that have not registered again in time. */
