Call log: what a target's response says about the target itself

The logs cannot tell whether a router read the notices: no line mentions them. No decision uses them yet.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
-import org.onyxhinge.core.place.AdvertisedLimit;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
@@ -59,8 +58,8 @@
         /** Identifies what the caller asks for, independent of the request id. */
         RequestFingerprint fingerprint();
 
-        /** Called with the rate limit that the response headers report. */
-        void limitNamed(AdvertisedLimit limit);
+        /** Called with what the response headers say about the target itself. */
+        void targetNotices(ResponseHead head);
 
         /** Called when the attempt failed before any byte was sent; the call was not executed. */
         void notSent(Attempt attempt, String why);
@@ -167,7 +166,7 @@
         bytesReceived();
         ResponseHead head = forwarder.protocol().readResponse(r.statusCode(), r.headers(), owner.requestId());
         r.exceptionHandler(this::connectionLost);
-        owner.limitNamed(head.limit());
+        owner.targetNotices(head);
         forwarder.targetLimits().responseReceived(target, head, sentAtMs);
         if (head.foreign()) {
             endWithFailure("response to a different request");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -31,6 +31,12 @@
     /** Rate limit in requests per second that the target reported; -1 if none. */
     double limitPerSecond = -1;
 
+    /** Whether a target that responded announced its shutdown. */
+    boolean targetLeaving;
+
+    /** Longest pause that a target asked for when it refused the call; 0 if none did. */
+    long targetRetryAfterMs;
+
     long sentAfterMs = -1;
     long firstByteMs = -1;
     long longestGapMs;
@@ -88,7 +94,7 @@
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d"
                         + " promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " target=%s targetCalls=%d limitPerSecond=%s sends=%d"
+                        + " target=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d troubles=\"%s\"",
                 requestId,
@@ -105,6 +111,8 @@
                 target,
                 targetCalls,
                 limitPerSecond,
+                targetLeaving,
+                targetRetryAfterMs,
                 sends,
                 sentAfterMs,
                 firstByteMs,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -259,8 +259,10 @@
     }
 
     @Override
-    public void limitNamed(AdvertisedLimit limit) {
-        switch (limit) {
+    public void targetNotices(ResponseHead head) {
+        logEntry.targetLeaving |= head.leaving();
+        logEntry.targetRetryAfterMs = Math.max(logEntry.targetRetryAfterMs, head.retryAfterMs());
+        switch (head.limit()) {
             case AdvertisedLimit.None n -> logEntry.limitPerSecond = -1;
             case AdvertisedLimit.PerSecond p -> logEntry.limitPerSecond = p.perSecond();
             case AdvertisedLimit.Unreadable u -> logEntry.addTrouble("limit", "unreadable " + u.text());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
@@ -6,6 +6,7 @@
 
 import io.vavr.control.Either;
 import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import org.onyxhinge.core.place.AdvertisedLimit;
 import org.onyxhinge.router.forward.CallHead;
@@ -31,14 +32,14 @@
     static final String NOT_RUN = "X-Onyx-Not-Run";
     /** Requests per second that the target accepts from all routers together, for as long as its responses say so. */
     static final String RATE_LIMIT = "X-Onyx-Rate-Limit";
+    /** Present in the responses of a target that is shutting down. */
+    static final String LEAVING = "X-Onyx-Leaving";
 
     private static final String LAST_EVENT_ID = "Last-Event-ID";
 
     /** For callers that give no deadline; their route's timeout is usually shorter. */
     private static final long DEFAULT_DEADLINE_MS = 60_000;
 
-    private static final int MISDIRECTED = 421;
-
     /** The key must not reach a target; the other headers are reserved for the router. */
     private static final Set<String> DROPPED = Set.of(
             "x-onyx-key",
@@ -91,7 +92,13 @@
     public ResponseHead readResponse(int status, MultiMap headers, String requestId) {
         String echoed = headers.get(REQUEST_ID);
         boolean foreign = echoed != null && !echoed.equals(requestId);
-        boolean notRun = headers.contains(NOT_RUN) || status == MISDIRECTED;
-        return new ResponseHead(status, notRun, foreign, true, AdvertisedLimit.parse(headers.get(RATE_LIMIT)));
+        return ResponseHead.of(
+                status,
+                headers.contains(NOT_RUN),
+                foreign,
+                true,
+                AdvertisedLimit.parse(headers.get(RATE_LIMIT)),
+                headers.contains(LEAVING),
+                headers.get(HttpHeaders.RETRY_AFTER));
     }
 }
