Failing tests: a target that announces its shutdown in a response gets no further calls

They rule out hypothesis 3 (only calls that were already waiting are sent): the calls are sent one after another.

--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LeavingTargetTest.java
@@ -0,0 +1,89 @@
+package org.onyxhinge.router.forward.file;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.onyxhinge.router.forward.Conditions;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Ports;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** A target of the file that announces in its responses that it is leaving, beside one that stays. */
+class LeavingTargetTest {
+
+    private static final long TIMEOUT_MS = 20_000;
+    private static final int CALLS = 20;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = vertx.createHttpClient();
+    private final int port = Ports.free();
+    private final AtomicInteger callsOfLeaving = new AtomicInteger();
+
+    private int target(boolean leaving) {
+        return Launch.await(
+                        vertx.createHttpServer()
+                                .requestHandler(r -> answer(r, leaving))
+                                .listen(0, "127.0.0.1"),
+                        TIMEOUT_MS)
+                .actualPort();
+    }
+
+    private void answer(HttpServerRequest request, boolean leaving) {
+        if (leaving) {
+            callsOfLeaving.incrementAndGet();
+            request.response().putHeader(OnyxCallProtocol.LEAVING, "1");
+        }
+        request.response().end("done");
+    }
+
+    private int call() {
+        RequestOptions options = new RequestOptions()
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setMethod(HttpMethod.POST)
+                .setURI("/print/1")
+                .putHeader("Host", "letters.example")
+                .putHeader(OnyxCallProtocol.API_KEY, "k1");
+        return Launch.await(
+                client.request(options)
+                        .compose(r -> r.send("list"))
+                        .compose(r -> r.body().map(b -> r.statusCode())),
+                TIMEOUT_MS);
+    }
+
+    @BeforeEach
+    void receiveAnnouncement() {
+        String targets = "[target m2]\nservice = mailroom\naddress = 127.0.0.1:" + target(false);
+        String file = SingleTargetConfig.text(port, target(true), "", targets);
+        Launch.await(ForwardingNode.start(vertx, SingleTargetConfig.read(file)), TIMEOUT_MS);
+        Conditions.await(() -> call() == 200 && callsOfLeaving.get() == 1, TIMEOUT_MS);
+    }
+
+    @AfterEach
+    void close() {
+        Launch.await(vertx.close(), TIMEOUT_MS);
+    }
+
+    @Nested
+    class AfterItsAnnouncement {
+
+        /** Guards against calls to a target that has announced in a response that it is leaving. */
+        @Test
+        void targetGetsNoFurtherCalls() {
+            for (int i = 0; i < CALLS; i++) {
+                assertThat(call(), is(200));
+            }
+            assertThat(callsOfLeaving.get(), is(1));
+        }
+    }
+}
