--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -555,5 +555,15 @@
             placement.shed(placement.target("a").orElseThrow(), 0);
             assertThat(fill(1).getFirst().target().info().id(), is("b"));
         }
+
+        /** Guards against bytes of other calls on a busy target that end the pause after its refusal. */
+        @Test
+        void sheddingTargetStaysPausedWhileItsOtherCallsGoOn() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            placement.shed(placement.target("a").orElseThrow(), 0);
+            placement.heard(placement.target("a").orElseThrow(), 0);
+            assertThat(fill(1).getFirst().target().info().id(), is("b"));
+        }
     }
 }
