A target that announces its shutdown in a response gets no further calls

A target that has left by then answers with a reset.

Cause: whether a target leaves was known from the registry alone. The class: a fact has one source of truth in the code though the platform gives two, and the one that is used is the one that fails.

Hypothesis 3 (only calls that waited already) is ruled out, the test sends one call after another. Hypothesis 2 (a later registration as ready undoes it) would have been true of a notice kept in the registry's entry: the second test.

Attempt hands it to TargetRegistry, which logs it once. For targets of the INI file, whose ids outlive a restart, leaving_hold_ms (60 s) ends it; on the platform every start is another incarnation.

Weighed and not done: telling the other routers at once. Each learns it by the first answer that it gets itself, and a router of the previous version closes the connection on a message that it doesn't know.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -80,6 +80,21 @@
         return gone;
     }
 
+    /**
+     * Records that a target has announced its shutdown: it gets no further calls, whatever the registry says, until it
+     * is registered as another incarnation or {@link #leavingEnded} is called.
+     *
+     * @return whether this was not known
+     */
+    public boolean leaving(TargetState target) {
+        return target.leaving(true);
+    }
+
+    /** Allows calls to a registered target again that has announced its shutdown. */
+    public void leavingEnded(String incarnation) {
+        target(incarnation).ifPresent(t -> t.leaving(false));
+    }
+
     /** All registered targets, for diagnostic dumps. */
     public Collection<TargetState> targets() {
         return targets.all();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -29,6 +29,9 @@
     private Target info;
     private TargetRole role = TargetRole.SERVING;
     private boolean gone;
+    /** Whether the target has announced its shutdown; the registry may learn of it much later. */
+    private boolean leaving;
+
     private int ownCalls;
     private long ownPrefillTokens;
     private int peerCalls;
@@ -155,9 +158,16 @@
         return ownCalls + peerCalls;
     }
 
-    /** Whether it is registered and not draining. */
+    /** Whether it is registered, not draining, and has not announced its shutdown. */
     public boolean isReady() {
-        return !gone && info.ready();
+        return !gone && !leaving && info.ready();
+    }
+
+    /** Sets whether it has announced its shutdown; returns whether that has changed. */
+    boolean leaving(boolean announced) {
+        boolean changed = leaving != announced;
+        leaving = announced;
+        return changed;
     }
 
     /** Whether any call may be placed on it. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -168,6 +168,9 @@
         r.exceptionHandler(this::connectionLost);
         owner.targetNotices(head);
         forwarder.targetLimits().responseReceived(target, head, sentAtMs);
+        if (head.leaving() && !head.foreign()) {
+            forwarder.targets().shutdownAnnounced(target);
+        }
         if (head.foreign()) {
             endWithFailure("response to a different request");
         } else if (head.notRun()) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -114,7 +114,8 @@
         f.context = vertx.getOrCreateContext();
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
-        f.targets = new TargetRegistry(f.context, f.placement, f.rollouts, f.crashQuarantine, f::pumpSoon);
+        f.targets = new TargetRegistry(
+                f.context, f.placement, f.rollouts, f.crashQuarantine, f::pumpSoon, settings.leavingHoldMs());
         f.rolloutRecords = new RolloutRecords(f.context, f.rollouts);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -1,5 +1,7 @@
 package org.onyxhinge.router.forward;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import io.vertx.core.Context;
@@ -20,24 +22,31 @@
     private final Rollouts rollouts;
     private final CrashQuarantine crashQuarantine;
     private final Runnable onChange;
+    private final long leavingHoldMs;
+    /** When targets that have announced their shutdown may be used again, by incarnation. */
+    private final Map<String, Long> leavingUntilMs = new HashMap<>();
+
     private final LapsedTargets lapsed = LapsedTargets.create();
 
     /**
      * Creates a registry without targets.
      *
      * @param onChange called when a target was added, so that waiting calls are reconsidered
+     * @param leavingHoldMs see {@link ForwardingSettings}
      */
     TargetRegistry(
             Context context,
             Placement placement,
             Rollouts rollouts,
             CrashQuarantine crashQuarantine,
-            Runnable onChange) {
+            Runnable onChange,
+            long leavingHoldMs) {
         this.context = context;
         this.placement = placement;
         this.rollouts = rollouts;
         this.crashQuarantine = crashQuarantine;
         this.onChange = onChange;
+        this.leavingHoldMs = leavingHoldMs;
     }
 
     /** Adds or updates a registered target. */
@@ -67,12 +76,38 @@
         context.runOnContext(v -> lapsed.lapsed(id, MonotonicClock.nowMs()));
     }
 
+    /**
+     * Takes a target out of use because one of its responses announces its shutdown. The registry may still list it as
+     * ready: it may be unavailable to the target.
+     */
+    void shutdownAnnounced(TargetState target) {
+        if (placement.leaving(target)) {
+            LOG.infof(
+                    "target leaving id=%s announcedBy=response holdMs=%d",
+                    target.info().id(), leavingHoldMs);
+            if (leavingHoldMs > 0) {
+                leavingUntilMs.put(target.incarnation(), MonotonicClock.nowMs() + leavingHoldMs);
+            }
+        }
+    }
+
     private void removeTarget(String id) {
         placement.targetGone(id).ifPresent(crashQuarantine::targetEnded);
     }
 
-    /** Removes the targets that have not registered again in time. */
+    /**
+     * Removes the targets that have not registered again in time, and ends the hold on targets that have announced
+     * their shutdown.
+     */
     void sweep(long nowMs) {
+        leavingUntilMs.entrySet().removeIf(e -> {
+            boolean over = nowMs >= e.getValue();
+            if (over) {
+                LOG.infof("target tried again incarnation=%s why=\"hold after its shutdown is over\"", e.getKey());
+                placement.leavingEnded(e.getKey());
+            }
+            return over;
+        });
         for (String id : lapsed.due(nowMs)) {
             LOG.infof("target gone id=%s why=\"not registered again after the registry was away\"", id);
             removeTarget(id);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
@@ -119,7 +119,8 @@
                                 file.number("rollouts", "exposure_percent", 10, 0, 100) / PERCENT,
                                 file.number("rollouts", "exposure_allowance", 0, 0, MAX_UNITS)),
                         false),
-                file.number("router", "drain_timeout_ms", 30_000, 1_000, MAX_MS));
+                file.number("router", "drain_timeout_ms", 30_000, 1_000, MAX_MS),
+                file.number("router", "leaving_hold_ms", 60_000, 1_000, MAX_MS));
     }
 
     private EdgeLimits limits() {
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -79,7 +79,8 @@
                     0.1,
                     0,
                     RolloutFixtures.SETTINGS,
-                    1_000);
+                    1_000,
+                    0);
             this.peers = runOnContext(() -> RouterPeers.start(ownVertx, settings, this));
         }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LeavingTargetTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LeavingTargetTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
@@ -24,22 +25,27 @@
     private static final long TIMEOUT_MS = 20_000;
     private static final int CALLS = 20;
 
+    /** Long enough for the calls of the other test, short enough to wait for. */
+    private static final long HOLD_MS = 3_000;
+
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client = vertx.createHttpClient();
     private final int port = Ports.free();
     private final AtomicInteger callsOfLeaving = new AtomicInteger();
 
-    private int target(boolean leaving) {
+    private final HttpServer leaving = target(true);
+    private final HttpServer staying = target(false);
+
+    private HttpServer target(boolean announcesShutdown) {
         return Launch.await(
-                        vertx.createHttpServer()
-                                .requestHandler(r -> answer(r, leaving))
-                                .listen(0, "127.0.0.1"),
-                        TIMEOUT_MS)
-                .actualPort();
+                vertx.createHttpServer()
+                        .requestHandler(r -> answer(r, announcesShutdown))
+                        .listen(0, "127.0.0.1"),
+                TIMEOUT_MS);
     }
 
-    private void answer(HttpServerRequest request, boolean leaving) {
-        if (leaving) {
+    private void answer(HttpServerRequest request, boolean announcesShutdown) {
+        if (announcesShutdown) {
             callsOfLeaving.incrementAndGet();
             request.response().putHeader(OnyxCallProtocol.LEAVING, "1");
         }
@@ -63,8 +69,9 @@
 
     @BeforeEach
     void receiveAnnouncement() {
-        String targets = "[target m2]\nservice = mailroom\naddress = 127.0.0.1:" + target(false);
-        String file = SingleTargetConfig.text(port, target(true), "", targets);
+        String other = "[target m2]\nservice = mailroom\naddress = 127.0.0.1:" + staying.actualPort();
+        String file = SingleTargetConfig.text(port, leaving.actualPort(), "", other)
+                .replace("[router]", "[router]\nleaving_hold_ms = " + HOLD_MS);
         Launch.await(ForwardingNode.start(vertx, SingleTargetConfig.read(file)), TIMEOUT_MS);
         Conditions.await(() -> call() == 200 && callsOfLeaving.get() == 1, TIMEOUT_MS);
     }
@@ -85,5 +92,13 @@
             }
             assertThat(callsOfLeaving.get(), is(1));
         }
+
+        /** Guards against a target of the file that stays unused after a restart under the same id. */
+        @Test
+        void targetIsTriedAgainAfterTheHold() {
+            Launch.await(staying.close(), TIMEOUT_MS);
+            Conditions.await(() -> call() == 200, TIMEOUT_MS);
+            assertThat(callsOfLeaving.get(), is(2));
+        }
     }
 }
