A target that asks for a pause with Retry-After gets no calls meanwhile

Cause, two parts of one fault: a target's own word on when it can take work was weaker in the code than what the router guesses. Retry-After was never read (hypothesis 1): a refusal paused the target for a fixed 100 ms. And TargetHealth.heard ended every pause by the next byte from the target (hypothesis 2), also of another call that it still served: right for silence, which a byte disproves, wrong for a refusal. A busy target always serves others.

Hypothesis 3 (calls that wait for a connection already) is covered by the same test of the target right before the send; it was not seen by itself.

Change: TargetHealth keeps the refusal apart from silence; it lasts as long as asked, 100 ms at least, and only time ends it. Every send passes it: placement, trial calls, reserved slots, and a call whose connection comes late. The estimate of a wait leaves out targets that pause, and begins when the first of them will take calls: so calls that cannot wait are refused at once and told when to come back (before: 0.5 s, while every target paused for 3 s). A 503 with Retry-After counts whether or not it says that the call was not run; the pause concerns the router that was told, as the platform means it, and is not passed on.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -387,9 +387,19 @@
         target.health().unreachable(nowMs);
     }
 
-    /** Records that a target refused a call because it is full: its queue is longer than this router knows. */
-    public void shed(TargetState target, long nowMs) {
-        target.health().shed(nowMs);
+    /**
+     * Records that a target refused a call because it is full: its queue is longer than this router knows.
+     *
+     * @param retryAfterMs how long it wants no calls from this router; 0 if it does not say
+     */
+    public void shed(TargetState target, long nowMs, long retryAfterMs) {
+        target.health().shed(nowMs, retryAfterMs);
+    }
+
+    /** Time until some target of a service accepts calls, if all of them have refused some; 0 otherwise. */
+    public long refusedForMs(String service, long nowMs) {
+        ServiceTargets known = targets.of(service);
+        return known == null ? 0 : known.refusedForMs(nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -167,8 +167,9 @@
 
     /**
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
-     * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. A peer that has not
-     * reported its rates is assumed to have the same rates as this router.
+     * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets refuse
+     * calls, this starts when the first of them will accept some. A peer that has not reported its rates is assumed to
+     * have the same rates as this router.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
@@ -186,11 +187,15 @@
         for (PeerDemand d : peers.values()) {
             ahead += d.waitingUpTo(Precedence.of(rank, true));
         }
-        return WaitEstimate.of(ahead, Math.max(freedPerSecond, fullTurnoverPerSecond(targets)), urgentPerSecond);
+        return WaitEstimate.of(
+                targets.refusedForMs(nowMs),
+                ahead,
+                Math.max(freedPerSecond, fullTurnoverPerSecond(targets, nowMs)),
+                urgentPerSecond);
     }
 
     /** Rate at which slots are freed while all are in use. */
-    private double fullTurnoverPerSecond(ServiceTargets targets) {
-        return ASSUMED_TURNOVER_FRACTION * targets.turnoverPerSecond(holdTimeMs);
+    private double fullTurnoverPerSecond(ServiceTargets targets, long nowMs) {
+        return ASSUMED_TURNOVER_FRACTION * targets.turnoverPerSecond(holdTimeMs, nowMs);
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -293,7 +293,9 @@
     /** Whether the first byte of a call would be on time if the call were sent now. */
     boolean canBeOnTime(Call call, long nowMs) {
         for (TargetState t : usableTargets(nowMs)) {
-            if (t.takesCalls() && nowMs + t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
+            if (t.takesCalls()
+                    && !t.health().refusesCalls(nowMs)
+                    && nowMs + t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
                 return true;
             }
         }
@@ -301,12 +303,12 @@
     }
 
     /**
-     * Whether any target suits a call. Targets with a rate limit do not count: calls do not wait for a target that
-     * accepts only a few per second.
+     * Whether any target suits a call. Targets with a rate limit, or that refuse calls for now, do not count: calls do
+     * not wait for a target that accepts only a few per second, or none.
      */
     private boolean anySuits(Call call, long nowMs) {
         for (TargetState t : ownTargets) {
-            if (t.takesCalls() && t.limit().isEmpty() && t.suits(call, nowMs)) {
+            if (t.takesCalls() && t.limit().isEmpty() && !t.health().refusesCalls(nowMs) && t.suits(call, nowMs)) {
                 return true;
             }
         }
@@ -328,16 +330,29 @@
      *
      * @param holdTimeMs how long a call holds its slot
      */
-    double turnoverPerSecond(double holdTimeMs) {
+    double turnoverPerSecond(double holdTimeMs, long nowMs) {
         double perSlot = MS_PER_SECOND / holdTimeMs;
         double sum = 0;
         for (TargetState t : ownTargets) {
-            double ofSlots = t.takesCalls() ? t.info().slots() * perSlot : 0;
+            boolean accepts = t.takesCalls() && !t.health().refusesCalls(nowMs);
+            double ofSlots = accepts ? t.info().slots() * perSlot : 0;
             sum += t.limit().map(l -> Math.min(l.perSecond(), ofSlots)).orElse(ofSlots);
         }
         return Math.max(perSlot, sum);
     }
 
+    /**
+     * Time until one of this group's targets accepts calls; 0 if one does now, or if all are unavailable for other
+     * reasons than their refusals.
+     */
+    long refusedForMs(long nowMs) {
+        return ownTargets.stream()
+                .filter(TargetState::takesCalls)
+                .mapToLong(t -> Math.max(0, t.health().refusesUntilMs() - nowMs))
+                .min()
+                .orElse(0);
+    }
+
     boolean anyTakesCalls() {
         return targets.stream().anyMatch(TargetState::takesCalls);
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetHealth.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetHealth.java
@@ -1,8 +1,8 @@
 package org.onyxhinge.core.place;
 
 /**
- * Health of a target as seen in this router's own calls: a circuit breaker for failed connections and silence, and a
- * smoothed failure rate for targets that fail while their health check passes.
+ * Health of a target as seen in this router's own calls: a circuit breaker for failed connections and silence, a pause
+ * that the target asks for, and a smoothed failure rate for targets that fail while their health check passes.
  */
 final class TargetHealth {
 
@@ -17,7 +17,10 @@
     private static final long SHED_PAUSE_MS = 100;
 
     private double failureRate;
-    private long pausedUntilMs;
+    private long unreachableUntilMs;
+    /** Unlike silence, a refusal is not disproved by the bytes of other calls. */
+    private long refusesUntilMs;
+
     private long pauseMs = MIN_PAUSE_MS;
     private long heardAtMs;
 
@@ -31,7 +34,7 @@
     void heard(long nowMs) {
         heardAtMs = nowMs;
         pauseMs = MIN_PAUSE_MS;
-        pausedUntilMs = 0;
+        unreachableUntilMs = 0;
     }
 
     /** Records a call that was cut off without a response. */
@@ -42,22 +45,34 @@
     /** Records a failed connection or a silent target: no calls are sent until the pause is over. */
     void unreachable(long nowMs) {
         broken();
-        if (nowMs >= pausedUntilMs) {
-            pausedUntilMs = nowMs + pauseMs;
+        if (nowMs >= unreachableUntilMs) {
+            unreachableUntilMs = nowMs + pauseMs;
             pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
         }
     }
 
     /**
-     * Records that the target refused a call because it is full; it gets no calls until some of its work has had time
-     * to end.
+     * Records that the target refused a call; it gets no calls for as long as it asks, and in any case until some of its
+     * work has had time to end.
+     *
+     * @param retryAfterMs how long it asked for; 0 if it did not say
      */
-    void shed(long nowMs) {
-        pausedUntilMs = Math.max(pausedUntilMs, nowMs + SHED_PAUSE_MS);
+    void shed(long nowMs, long retryAfterMs) {
+        refusesUntilMs = Math.max(refusesUntilMs, nowMs + Math.max(SHED_PAUSE_MS, retryAfterMs));
     }
 
     boolean paused(long nowMs) {
-        return nowMs < pausedUntilMs;
+        return nowMs < unreachableUntilMs || refusesCalls(nowMs);
+    }
+
+    /** Whether the target has refused a call and wants no others yet. */
+    boolean refusesCalls(long nowMs) {
+        return nowMs < refusesUntilMs;
+    }
+
+    /** When the target will accept calls again after a refusal; in the past if it accepts them. */
+    long refusesUntilMs() {
+        return refusesUntilMs;
     }
 
     /** Whether calls are let through one at a time after a pause, until one of them is answered. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -181,8 +181,8 @@
     }
 
     /** Whether a call that was placed on it may still be sent. */
-    public boolean acceptsSends() {
-        return isReady() && role != TargetRole.WITHHELD;
+    public boolean acceptsSends(long nowMs) {
+        return isReady() && role != TargetRole.WITHHELD && !health.refusesCalls(nowMs);
     }
 
     /** Which calls it gets. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitEstimate.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitEstimate.java
@@ -15,8 +15,14 @@
     /** Minimum fraction of the freed slots assumed to remain for a rank, so that the estimate stays finite. */
     private static final double MIN_REMAINING_FRACTION = 0.05;
 
-    static WaitEstimate of(int ahead, double freedPerSecond, double urgentPerSecond) {
+    /**
+     * Creates an estimate.
+     *
+     * @param refusedForMs time until a target accepts calls
+     */
+    static WaitEstimate of(long refusedForMs, int ahead, double freedPerSecond, double urgentPerSecond) {
         double left = Math.max(freedPerSecond - urgentPerSecond, freedPerSecond * MIN_REMAINING_FRACTION);
-        return new WaitEstimate((long) ((ahead + 1) / left * MS_PER_SECOND), ahead, freedPerSecond, urgentPerSecond);
+        long queueMs = (long) ((ahead + 1) / left * MS_PER_SECOND);
+        return new WaitEstimate(refusedForMs + queueMs, ahead, freedPerSecond, urgentPerSecond);
     }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -552,7 +552,7 @@
         void sheddingTargetIsPaused() {
             placement.targetSeen(target("a", "here", true));
             placement.targetSeen(target("b", "here", true));
-            placement.shed(placement.target("a").orElseThrow(), 0);
+            placement.shed(placement.target("a").orElseThrow(), 0, 0);
             assertThat(fill(1).getFirst().target().info().id(), is("b"));
         }
 
@@ -561,7 +561,7 @@
         void sheddingTargetStaysPausedWhileItsOtherCallsGoOn() {
             placement.targetSeen(target("a", "here", true));
             placement.targetSeen(target("b", "here", true));
-            placement.shed(placement.target("a").orElseThrow(), 0);
+            placement.shed(placement.target("a").orElseThrow(), 0, 0);
             placement.heard(placement.target("a").orElseThrow(), 0);
             assertThat(fill(1).getFirst().target().info().id(), is("b"));
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -131,7 +131,7 @@
             return;
         }
         RequestOptions options = new RequestOptions();
-        if (!target.acceptsSends() || !owner.prepare(options, target)) {
+        if (!target.acceptsSends(MonotonicClock.nowMs()) || !owner.prepare(options, target)) {
             forwarder.connections().release(c, null);
             connection = null;
             endNotSent("call ended before it was sent");
@@ -168,13 +168,12 @@
         r.exceptionHandler(this::connectionLost);
         owner.targetNotices(head);
         forwarder.targetLimits().responseReceived(target, head, sentAtMs);
-        if (head.leaving() && !head.foreign()) {
-            forwarder.targets().shutdownAnnounced(target);
-        }
         if (head.foreign()) {
             endWithFailure("response to a different request");
-        } else if (head.notRun()) {
-            forwarder.placement().shed(target, MonotonicClock.nowMs());
+            return;
+        }
+        heedNotices(head);
+        if (head.notRun()) {
             observer.failed();
             if (finish(false)) {
                 owner.notRun(this, head, r);
@@ -188,6 +187,16 @@
         }
     }
 
+    /** Applies what the response says about the target itself, whatever becomes of the call. */
+    private void heedNotices(ResponseHead head) {
+        if (head.leaving()) {
+            forwarder.targets().shutdownAnnounced(target);
+        }
+        if (head.notRun() || head.retryAfterMs() > 0) {
+            forwarder.targets().callRefused(target, head.retryAfterMs());
+        }
+    }
+
     private void buffer(ResponseHead head, HttpClientResponse r) {
         body = Buffer.buffer();
         r.handler(b -> {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -293,7 +293,8 @@
             if (history.consumeRetry(plan, forwarder)) {
                 submit();
             } else {
-                endWithoutTarget("target_full", Forwarder.SHED_RETRY_MS);
+                long refusedForMs = forwarder.placement().refusedForMs(plan.service(), MonotonicClock.nowMs());
+                endWithoutTarget("target_full", Math.max(Forwarder.SHED_RETRY_MS, refusedForMs));
             }
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -12,7 +12,10 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.wire.MonotonicClock;
 
-/** The targets of a forwarder as they are registered. The public methods may be called from any thread. */
+/**
+ * The targets of a forwarder, as they are registered and as their own responses describe them. The public methods may be
+ * called from any thread.
+ */
 public final class TargetRegistry {
 
     private static final Logger LOG = Logger.getLogger(TargetRegistry.class);
@@ -91,6 +94,18 @@
         }
     }
 
+    /**
+     * Pauses calls to a target that has refused one.
+     *
+     * @param retryAfterMs how long it asks to be left alone; 0 if it does not say
+     */
+    void callRefused(TargetState target, long retryAfterMs) {
+        if (retryAfterMs > 0) {
+            LOG.infof("target pauses id=%s forMs=%d", target.info().id(), retryAfterMs);
+        }
+        placement.shed(target, MonotonicClock.nowMs(), retryAfterMs);
+    }
+
     private void removeTarget(String id) {
         placement.targetGone(id).ifPresent(crashQuarantine::targetEnded);
     }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/PlacementRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/PlacementRouter.java
@@ -202,7 +202,7 @@
     }
 
     private void rejectedByEngine(SimAttempt attempt, InFlightCall inFlightCall) {
-        placement.shed(inFlightCall.target, time.nowMillis());
+        placement.shed(inFlightCall.target, time.nowMillis(), 0);
         release(attempt, inFlightCall);
         attempt.listener().refused(PUMP_INTERVAL_MS);
     }
