Changes are read although the key-value service was restored from a copy

Cause: KvMirror never replaces a key by an older revision, and revisions were compared across a restore of the store. After it, revisions go back and are given out again. Configuration 23 had been read at revision 54; 26, 28, 30 and 32 were written below 54 in the restored store and were dropped in silence; 34, at 56, was the first to be taken. All the while each answer of the watch confirmed the old configuration and its keys. The class: a counter of one life of a service compared with that of another.

Hypothesis 3 (an older configuration is refused for good) is ruled out: the refusal ends with the next version that is not older.

KvMirror reports the restore, holds back deletions of missing keys for 2 s (owners write again what was lost), and takes a key that it had seen deleted only once it is written again: so targets registered since the copy stay in use, and targets that had left do not come back.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -12,20 +14,40 @@
 
 /**
  * Keeps a listener up to date with all keys under a prefix: reads the prefix once, then watches it, and
- * reads it again if the service has compacted the history that the watch needs. During an outage no
+ * reads it again if the service no longer has the history that the watch needs. During an outage no
  * change is reported. A key is never replaced by an older revision. Runs on the client's context.
+ *
+ * <p>If the service was restored from a copy, the keys' owners write again what was lost. Until they have had time to, a
+ * key that is missing is not reported as deleted, and a key that had been deleted is not reported as created.
  */
 public final class KvMirror {
 
     private static final Logger LOG = Logger.getLogger(KvMirror.class);
     private static final long RETRY_MS = 200;
 
+    /** Time for owners to write again what a restore has lost: live targets write about once per second. */
+    private static final long REWRITE_MS = 2_000;
+
+    /** A copy is some seconds old; far fewer keys than this are deleted in that time. */
+    private static final int MAX_DELETED = 4_096;
+
     private final Vertx vertx;
     private final KvStore kv;
     private final String prefix;
     private final Listener listener;
     private final Map<String, Long> revisions = new HashMap<>();
+    /** Keys that were lost in a restore and not written again yet. */
+    private final Set<String> missing = new HashSet<>();
+    /** Keys that were deleted; the one deleted last comes last. */
+    private final Map<String, Boolean> deleted = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_DELETED;
+        }
+    };
+
     private final Promise<Long> firstLoad = Promise.promise();
+    private long epoch;
 
     /** Receives the changes. */
     public interface Listener {
@@ -38,6 +60,9 @@
 
         /** All changes up to {@code revision} have been reported. */
         void revisionReached(long revision);
+
+        /** The service was restored from a copy; the contents that differ are reported next. */
+        default void restored() {}
     }
 
     private KvMirror(Vertx vertx, KvStore kv, String prefix, Listener listener) {
@@ -62,17 +87,48 @@
     }
 
     private void apply(KvMessage.Reply reply) {
-        Set<String> removed = new HashSet<>(revisions.keySet());
-        for (KvEntry entry : reply.entries()) {
-            removed.remove(entry.key());
-            put(entry);
+        boolean firstRead = !firstLoad.future().isComplete();
+        boolean restored = !firstRead && KvRevision.epoch(reply.revision()) > epoch;
+        epoch = KvRevision.epoch(reply.revision());
+        Set<String> absent = new HashSet<>(revisions.keySet());
+        reply.entries().forEach(entry -> absent.remove(entry.key()));
+        if (restored) {
+            LOG.warnf("kv service restored prefix=%s epoch=%d keysMissing=%d", prefix, epoch, absent.size());
+            listener.restored();
+            awaitRewrite(absent);
+            reply.entries().forEach(this::putFromCopy);
+        } else {
+            reply.entries().forEach(this::put);
         }
-        removed.forEach(this::delete);
+        absent.removeAll(missing);
+        absent.forEach(this::delete);
         listener.revisionReached(reply.revision());
         kv.watch(prefix, reply.revision(), this::applyEvent, this::load);
         firstLoad.tryComplete(reply.revision());
     }
 
+    /** Reports keys as deleted unless they are written again in time. */
+    private void awaitRewrite(Set<String> lost) {
+        missing.addAll(lost);
+        List<String> awaited = List.copyOf(lost);
+        long epochOfRestore = epoch;
+        vertx.setTimer(REWRITE_MS, t -> {
+            if (epoch == epochOfRestore) {
+                awaited.stream().filter(missing::remove).forEach(this::delete);
+            }
+        });
+    }
+
+    /** A key that had been deleted is in the copy only because the copy is older; its next write is reported. */
+    private void putFromCopy(KvEntry entry) {
+        if (deleted.containsKey(entry.key())) {
+            LOG.infof("kv entry ignored key=%s why=\"deleted before the restore\"", entry.key());
+            revisions.put(entry.key(), entry.modRevision());
+        } else {
+            put(entry);
+        }
+    }
+
     private void applyEvent(KvMessage.Event event) {
         if (event.deleted()) {
             delete(event.entry().key());
@@ -86,12 +142,16 @@
         Long knownRevision = revisions.get(entry.key());
         if (knownRevision == null || entry.modRevision() > knownRevision) {
             revisions.put(entry.key(), entry.modRevision());
+            missing.remove(entry.key());
+            deleted.remove(entry.key());
             listener.put(entry);
         }
     }
 
     private void delete(String key) {
-        if (revisions.remove(key) != null) {
+        boolean known = revisions.remove(key) != null;
+        boolean reported = deleted.put(key, true) != null;
+        if (known && !reported) {
             listener.deleted(key);
         }
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
@@ -6,6 +6,9 @@
 /**
  * The key-value service, independent of the protocol. Calls fail with {@link KvException}; a call that
  * failed as {@link KvStatus#UNAVAILABLE} may have taken effect or may still do so.
+ *
+ * <p>The service may be restored from a copy and lose what was written since. Revisions rise all the same, see
+ * {@link KvRevision}; writes that expect a version from before the restore fail.
  */
 public interface KvStore {
 
@@ -33,7 +36,7 @@
     /**
      * Watches a prefix from {@code fromRevision}; {@code events} runs on the client's context for every
      * change, including those replayed after a reconnect. The watch is retried until the service accepts it.
-     * If the service has compacted the history that the watch needs, the watch ends and {@code compacted} runs.
+     * If the service no longer has the history that the watch needs, the watch ends and {@code compacted} runs.
      */
     void watch(String prefix, long fromRevision, Handler<KvMessage.Event> events, Runnable compacted);
 }
--- /dev/null
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -0,0 +1,151 @@
+package org.onyxhinge.wire.kv;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+class KvMirrorTest {
+
+    /** Longer than the mirror waits for keys to be written again. */
+    private static final long AFTER_REWRITE_MS = 2_500;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final FakeKvStore store = new FakeKvStore();
+    private final List<String> reported = new CopyOnWriteArrayList<>();
+
+    private final class Recorder implements KvMirror.Listener {
+
+        @Override
+        public void put(KvEntry entry) {
+            reported.add(entry.key() + "=" + entry.text());
+        }
+
+        @Override
+        public void deleted(String key) {
+            reported.add(key + " deleted");
+        }
+
+        @Override
+        public void revisionReached(long revision) {
+            // Not of interest here.
+        }
+
+        @Override
+        public void restored() {
+            reported.add("restored");
+        }
+    }
+
+    @BeforeEach
+    void mirror() {
+        store.write("kept", "1");
+        store.write("gone", "1");
+        KvMirror.start(vertx, store, "", new Recorder());
+        reported.clear();
+    }
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Loses a write of {@code lost}, the deletion of {@code gone}, and a change of {@code kept}. */
+    private void restoreOlderCopy() {
+        store.copy();
+        store.write("kept", "2");
+        store.write("lost", "1");
+        store.remove("gone");
+        store.deliver();
+        reported.clear();
+        store.restore();
+    }
+
+    @Nested
+    class Restore {
+
+        @Test
+        void isReportedBeforeTheContentsOfTheCopy() {
+            restoreOlderCopy();
+            store.deliver();
+            assertThat(reported, contains("restored", "kept=1"));
+        }
+
+        /** Guards against changes that are ignored because their revisions were given out before the restore. */
+        @Test
+        void laterChangesAreReported() {
+            restoreOlderCopy();
+            store.write("kept", "3");
+            store.deliver();
+            assertThat(reported, hasItem("kept=3"));
+            store.write("kept", "4");
+            store.deliver();
+            assertThat(reported, hasItem("kept=4"));
+        }
+
+        @Test
+        void deletedKeyIsReportedOnlyOnceItIsWrittenAgain() {
+            restoreOlderCopy();
+            store.deliver();
+            store.remove("gone");
+            store.deliver();
+            assertThat(reported, contains("restored", "kept=1"));
+            store.write("gone", "2");
+            store.deliver();
+            assertThat(reported.getLast(), is("gone=2"));
+        }
+
+        @Test
+        void lostKeyIsReportedAsDeletedIfItIsNotWrittenAgain() {
+            restoreOlderCopy();
+            store.deliver();
+            sleep(AFTER_REWRITE_MS);
+            assertThat(reported, contains("restored", "kept=1", "lost deleted"));
+        }
+
+        @Test
+        void lostKeyThatIsWrittenAgainIsNeverReportedAsDeleted() {
+            restoreOlderCopy();
+            store.deliver();
+            store.write("lost", "1");
+            store.deliver();
+            sleep(AFTER_REWRITE_MS);
+            assertThat(reported, contains("restored", "kept=1", "lost=1"));
+        }
+    }
+
+    @Nested
+    class LostHistory {
+
+        @Test
+        void deletedKeyIsReportedAtOnce() {
+            store.remove("gone");
+            store.deliver();
+            assertThat(reported, contains("gone deleted"));
+        }
+
+        @Test
+        void unchangedKeysAreNotReportedAgain() {
+            store.deliver();
+            assertThat(reported, is(empty()));
+        }
+    }
+}
