A restored store confirms no configuration until lost ones had time to be written again

Cause: each complete read confirms the configuration as the newest. A copy cannot: it is older than what was acknowledged.

Change: KvMirror tells its listener of the restore; for 2 s after it reads confirm nothing. The trust in keys then runs out 3.5 s after the last confirmation from before, as in any outage: keys are refused rather than trusted, and routes without keys are served on. After the store was away for less than a second and a half, nothing is refused at all.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ActiveConfig.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ActiveConfig.java
@@ -4,6 +4,7 @@
 
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.route.ForwardingConfig;
+import org.onyxhinge.wire.kv.KvMirror;
 
 /**
  * The active configuration, which calls are checked against, and whether its API keys may still be trusted. Replaced by
@@ -17,6 +18,9 @@
     /** Null until the first configuration arrives; always replaced as one value. */
     private volatile ConfirmedConfig current;
 
+    /** Reads sent before this time confirm nothing. */
+    private long confirmableFromMs = Long.MIN_VALUE;
+
     private boolean keysTrustedBefore;
 
     ActiveConfig(ConfigFreshness freshness) {
@@ -32,10 +36,20 @@
     }
 
     /**
-     * Records that a store read sent at {@code askedAtMs} confirmed the configuration; no effect before the first one.
+     * Records that the store was restored from a copy. What it holds may be older than what it acknowledged, so it
+     * confirms no configuration until the lost ones had time to be written again.
+     */
+    synchronized void storeRestored() {
+        confirmableFromMs = freshness.stampMs() + KvMirror.REWRITE_MS;
+        LOG.infof("store restored version=%d confirmedAgainInMs=%d", version(), KvMirror.REWRITE_MS);
+    }
+
+    /**
+     * Records that a store read sent at {@code askedAtMs} confirmed the configuration; no effect before the first one,
+     * or shortly after the store was restored.
      */
     synchronized void confirmed(long askedAtMs) {
-        if (current != null) {
+        if (current != null && askedAtMs >= confirmableFromMs) {
             current = current.confirmed(askedAtMs);
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -190,6 +190,11 @@
         config.confirmed(askedAtMs);
     }
 
+    /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
+    public void storeRestored() {
+        config.storeRestored();
+    }
+
     /** Holds a call that arrived before the first configuration, for a limited time. */
     void holdUntilConfigured(Exchange exchange) {
         awaitingConfig.add(exchange);
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/ActiveConfigTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/ActiveConfigTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.core.route.EdgeLimits;
 import org.onyxhinge.core.route.ForwardingConfig;
+import org.onyxhinge.wire.kv.KvMirror;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -82,6 +83,18 @@
             }
         }
 
+        /** Guards against a restored store that confirms a configuration although it has lost a newer one. */
+        @Test
+        void isNotTakenFromAStoreThatWasJustRestored() {
+            config.replace(version(1));
+            long stampMs = freshness.stampMs();
+            config.storeRestored();
+            config.confirmed(stampMs + KvMirror.REWRITE_MS - 1);
+            assertThat(config.keysTrusted(), is(false));
+            config.confirmed(stampMs + 2 * KvMirror.REWRITE_MS);
+            assertThat(config.keysTrusted(), is(true));
+        }
+
         @Test
         void isNotMovedBackByALateResponse() {
             config.replace(version(1));
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -26,7 +26,7 @@
     private static final long RETRY_MS = 200;
 
     /** Time for owners to write again what a restore has lost: live targets write about once per second. */
-    private static final long REWRITE_MS = 2_000;
+    public static final long REWRITE_MS = 2_000;
 
     /** A copy is some seconds old; far fewer keys than this are deleted in that time. */
     private static final int MAX_DELETED = 4_096;
