A draining target is not used again because a restored registry lists it as ready

Cause: whether a target drains was taken from its latest registry entry alone, and that may be older than one read before.

Change: where every start is registered as a new target, a drain counts like the shutdown that a response announces: it belongs to the incarnation and stays. In an INI file `draining` can be taken back as before.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -59,6 +59,9 @@
             rollouts.targetSeen(target);
             Optional<TargetState> replaced = placement.targetSeen(target);
             replaced.ifPresent(crashQuarantine::targetEnded);
+            if (!target.ready() && drainIsFinal()) {
+                placement.target(target.incarnation()).ifPresent(placement::leaving);
+            }
             onChange.run();
         });
     }
@@ -106,6 +109,14 @@
         placement.shed(target, MonotonicClock.nowMs(), retryAfterMs);
     }
 
+    /**
+     * Whether a draining target never becomes ready again. A registry that was restored from a copy may list it as ready
+     * all the same.
+     */
+    private boolean drainIsFinal() {
+        return leavingHoldMs == 0;
+    }
+
     private void removeTarget(String id) {
         placement.targetGone(id).ifPresent(crashQuarantine::targetEnded);
     }
