A quarantine is not lifted because a restored store has lost its record

Cause: the removal of the record is the operators' way to lift every quarantine, and a record that a copy lacks looked the same. Nor was it written again: a router took it for stored.

Change: at a restore RecoveryRecords forgets what it took for stored, so the record is written again where it is missing, and a removal counts only once the record has been seen in the restored store.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
@@ -36,6 +36,9 @@
     private final RouterPeers peers;
     private QuarantineRecord storedQuarantine = new QuarantineRecord(List.of());
     private long storedVersion;
+    /** True after a restore of the store until the quarantine record has been seen: a missing one may have been lost. */
+    private boolean quarantineMayBeLost;
+
     private long outdatedSinceMs = -1;
     /** When the last two store reads were complete; a read is sent after the one before it is complete. */
     private long lastReadAtMs = -1;
@@ -109,6 +112,7 @@
     private void quarantineWritten(QuarantineRecord written, long version) {
         LOG.infof("quarantine recorded revision=%d", version);
         context.runOnContext(v -> {
+            quarantineMayBeLost = false;
             if (version > storedVersion) {
                 storedVersion = version;
                 storedQuarantine = written;
@@ -130,6 +134,7 @@
             if (version < storedVersion) {
                 return;
             }
+            quarantineMayBeLost = false;
             storedVersion = version;
             QuarantineRecord.decode(bytes)
                     .peek(r -> {
@@ -140,9 +145,22 @@
         });
     }
 
+    /** Forgets what the store held, because it was restored from a copy; what it lacks is written again. */
+    public void storeRestored() {
+        context.runOnContext(v -> {
+            quarantineMayBeLost = true;
+            storedVersion = 0;
+            storedQuarantine = new QuarantineRecord(List.of());
+        });
+    }
+
     /** Lifts every quarantine, because an operator has removed the record. */
     public void liftQuarantine() {
         context.runOnContext(v -> {
+            if (quarantineMayBeLost) {
+                LOG.infof("quarantine kept why=\"record missing after a restore of the store\"");
+                return;
+            }
             storedVersion = 0;
             storedQuarantine = new QuarantineRecord(List.of());
             crashQuarantine.lift();
