A rollout that has ended does not start again because the store was restored

Cause: an order is known by the revision of its entry, and a restore gives the same entry another one.

Change: an order that differs from the known one only by its id, and whose id is of a later epoch, is the same order; an ended rollout whose record names the earlier id is recorded with its outcome, not as a trial. An operator who gives the same order anew right after a restore has to give it once more.

RolloutTest: isNotTriedAgainAfterARestoreOfTheStore and staysCompletedAfterARestoreOfTheStore failed before ("running").

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
@@ -26,6 +26,7 @@
 import org.onyxhinge.core.rollout.RolloutStep;
 import org.onyxhinge.core.route.Route;
 import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.kv.KvRevision;
 import org.onyxhinge.wire.peer.PeerMessage;
 
 /**
@@ -95,6 +96,13 @@
         if (s.rollout().map(r -> order.id() <= r.order().id()).orElse(false)) {
             return;
         }
+        if (s.rollout().filter(r -> isSameAfterRestore(r.order(), order)).isPresent()) {
+            LOG.infof(
+                    "rollout order restored service=%s version=%s order=%d",
+                    order.service(), order.version(), order.id());
+            s.rollout().orElseThrow().renew(order);
+            return;
+        }
         long nowMs = MonotonicClock.nowMs();
         boolean live = forwarder.activeConfig().isPresent();
         LOG.infof(
@@ -113,6 +121,13 @@
         applyRoles(s);
     }
 
+    /** Whether an order has another id only because the store that holds it was restored from a copy. */
+    private static boolean isSameAfterRestore(RolloutOrder before, RolloutOrder now) {
+        return KvRevision.epoch(now.id()) > KvRevision.epoch(before.id())
+                && now.version().equals(before.version())
+                && now.durationMs() == before.durationMs();
+    }
+
     /** Handles the removal of an order: a rollout that has not ended is rolled back. */
     void orderRemoved(String serviceName) {
         ServiceRollout s = service(serviceName);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ServiceRollout.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ServiceRollout.java
@@ -185,7 +185,7 @@
             RolloutRecord next = new RolloutRecord(
                     rollout.order().id(),
                     rollout.order().version(),
-                    ownsRecord() || phase == RolloutPhase.ROLLED_BACK ? phase : RolloutPhase.TRIAL,
+                    ownsRecord() || phase.isFinal() ? phase : RolloutPhase.TRIAL,
                     startedAtEpochMs,
                     versions.rejected());
             return Optional.of(new RolloutChange.Record(service, next.encode(), storedVersion));
