A key whose lease outlives a restore of the service is written again

Cause: a renewal was taken for proof that the key is there. After a restore it proves neither that nor that the lease is still this owner's: ids may be given out again.

Change: a renewal that is answered in a later epoch than that of the registration registers anew, under a new lease.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeasedKey.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LeasedKey.java
@@ -8,7 +8,8 @@
 /**
  * A key bound to a lease that is renewed as long as this object is open: requests the lease, writes the
  * key and sends a keep-alive every third of the time to live. If the lease has expired, for example
- * during a pause or an outage, registers the key again under a new lease.
+ * during a pause or an outage, or the service was restored from a copy, registers the key again under a
+ * new lease.
  *
  * <p>Runs on the key-value client's context.
  */
@@ -24,6 +25,9 @@
     private final byte[] value;
     private final long ttlMs;
     private long leaseId;
+    /** Epoch of the service in which the key was written, see {@link KvRevision}. */
+    private long registeredInEpoch;
+
     private long validUntilMs;
     private boolean registering;
     private long retryMs = INITIAL_RETRY_MS;
@@ -82,6 +86,7 @@
 
     private KvMessage.Reply registered(long newLeaseId, KvMessage.Reply put, long sentAtMs) {
         leaseId = newLeaseId;
+        registeredInEpoch = KvRevision.epoch(put.revision());
         validUntilMs = sentAtMs + ttlMs;
         LOG.infof("lease acquired key=%s lease=%d revision=%d", key, leaseId, put.revision());
         return put;
@@ -94,7 +99,7 @@
         long sentAtMs = MonotonicClock.nowMs();
         long renewingLeaseId = leaseId;
         kv.keepAlive(renewingLeaseId)
-                .onSuccess(r -> renewed(renewingLeaseId, sentAtMs))
+                .onSuccess(r -> renewed(renewingLeaseId, KvRevision.epoch(r.revision()), sentAtMs))
                 .onFailure(e -> {
                     if (renewingLeaseId == leaseId && e instanceof KvException k && k.status() == KvStatus.NOT_FOUND) {
                         LOG.warnf("lease expired key=%s lease=%d", key, leaseId);
@@ -104,10 +109,18 @@
                 });
     }
 
-    private void renewed(long renewedLeaseId, long sentAtMs) {
-        if (renewedLeaseId == leaseId) {
-            validUntilMs = sentAtMs + ttlMs;
+    private void renewed(long renewedLeaseId, long epoch, long sentAtMs) {
+        if (renewedLeaseId != leaseId) {
+            return;
         }
+        if (epoch > registeredInEpoch) {
+            // The copy may have the lease but not the key, or have given the same lease id to another owner.
+            LOG.infof("lease replaced key=%s lease=%d why=\"service restored\"", key, leaseId);
+            leaseId = 0;
+            register();
+            return;
+        }
+        validUntilMs = sentAtMs + ttlMs;
     }
 
     /** Revokes the lease, which deletes the key, so that peers see the owner leave without waiting for the expiry. */
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/FakeKvStore.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/FakeKvStore.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
@@ -11,14 +11,14 @@
 /** Key-value store in memory that can be restored from a copy. Its watches report when {@link #deliver} is called. */
 final class FakeKvStore implements KvStore {
 
-    private final Map<String, KvEntry> entries = new TreeMap<>();
+    private final Map<String, KvEntry> entries = new ConcurrentSkipListMap<>();
     private final List<KvMessage.Event> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private final List<Long> grantedLeases = new ArrayList<>();
     private Map<String, KvEntry> copy = Map.of();
     private long copyRevision;
-    private long epoch;
-    private long revision;
+    private volatile long epoch;
+    private volatile long revision;
 
     private static final class Watch {
         private final Handler<KvMessage.Event> events;
@@ -67,10 +67,6 @@
         return entries.containsKey(key);
     }
 
-    int grantedLeaseCount() {
-        return grantedLeases.size();
-    }
-
     /** Lets every watch receive what has changed, or learn that its history is gone. */
     void deliver() {
         for (Watch w : List.copyOf(watches)) {
