--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/collect/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that the other packages share. */
+package org.onyxhinge.core.collect;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
@@ -3,11 +3,12 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.onyxhinge.core.collect.BoundedMap;
+
 /** The registered targets by incarnation, the targets that left recently, and the calls of peers on any of them. */
 final class TargetTable {
 
@@ -26,20 +27,9 @@
     /** Incarnation of each registered target by its id. */
     private final Map<String, String> incarnations = new HashMap<>();
     /** Formerly registered targets by incarnation; the one that left last comes last. */
-    private final Map<String, TargetState> departed = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, TargetState> eldest) {
-            return size() > MAX_DEPARTED;
-        }
-    };
-
+    private final Map<String, TargetState> departed = BoundedMap.dropOldest(MAX_DEPARTED);
     /** Rate limits by incarnation, including those of targets that are not registered yet. */
-    private final Map<String, TargetLimit> limits = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, TargetLimit> eldest) {
-            return size() > MAX_LIMITS;
-        }
-    };
+    private final Map<String, TargetLimit> limits = BoundedMap.dropOldest(MAX_LIMITS);
 
     private final Map<String, Map<String, TargetUse>> peerUses = new HashMap<>();
     private final Map<String, VersionRoles> rolesByService = new HashMap<>();
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
+import org.onyxhinge.core.collect.BoundedMap;
+
 /**
  * Requests that are withheld from targets because they crash the targets that run them. A request is quarantined while
  * at least {@link #CRASH_THRESHOLD} crashes of different targets within {@link #CRASH_RETENTION_MS} are known for it,
@@ -38,8 +39,8 @@
     /** Maximum number of completely answered requests kept, at about 100 bytes each. */
     private static final int MAX_ANSWERED = 2_048;
 
-    private final Map<RequestFingerprint, Map<String, Long>> crashes = bounded(MAX_SUSPECTS);
-    private final Map<RequestFingerprint, Long> answeredAtMs = bounded(MAX_ANSWERED);
+    private final Map<RequestFingerprint, Map<String, Long>> crashes = BoundedMap.dropOldest(MAX_SUSPECTS);
+    private final Map<RequestFingerprint, Long> answeredAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
 
     private Quarantine() {}
 
@@ -48,15 +49,6 @@
         return new Quarantine();
     }
 
-    private static <V> Map<RequestFingerprint, V> bounded(int maxEntries) {
-        return new LinkedHashMap<>() {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<RequestFingerprint, V> eldest) {
-                return size() > maxEntries;
-            }
-        };
-    }
-
     /** Effect of a reported crash. */
     public enum Effect {
         /** The crash was already known, or is too old to count. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/DispatchHistory.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/DispatchHistory.java
@@ -1,8 +1,9 @@
 package org.onyxhinge.core.schedule;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 
+import org.onyxhinge.core.collect.BoundedMap;
+
 /**
  * Records the most recent dispatches to assert the invariant that each request is dispatched at most once. Kept only
  * while {@link Invariants} are enabled.
@@ -11,14 +12,7 @@
 
     private static final int CAPACITY = 100_000;
 
-    private final Map<String, Boolean> requestIds = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > CAPACITY;
-        }
-    };
+    private final Map<String, Boolean> requestIds = BoundedMap.dropOldest(CAPACITY);
 
     /** Records a dispatch; a second dispatch of the same request violates the invariant. */
     void record(String requestId) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/RouterNode.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +19,7 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.grpc.server.GrpcServer;
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.core.model.ClusterConfig;
 import org.onyxhinge.core.model.Workspace;
 import org.onyxhinge.core.schedule.Action;
@@ -64,14 +64,7 @@
     private final RequestIdGenerator requestIds;
     private final Scheduler scheduler;
     private final Map<String, InFlightRequest> inFlight = new HashMap<>();
-    private final Map<Long, String> pendingPreemptions = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
-            return size() > MAX_PENDING_PREEMPTIONS;
-        }
-    };
+    private final Map<Long, String> pendingPreemptions = BoundedMap.dropOldest(MAX_PENDING_PREEMPTIONS);
     private KvClient kv;
     private ConfigStore config;
     private IdempotencyClaims claims;
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/engine/EngineStandIn.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,6 +19,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.collect.BoundedMap;
 
 /**
  * A model engine stand-in with continuous batching. It serves the OpenAI chat-completions API ({@code POST
@@ -50,7 +50,7 @@
     private final EngineSpec spec;
     private final ArrayDeque<Sequence> waiting = new ArrayDeque<>();
     private final List<Sequence> running = new ArrayList<>();
-    private final LinkedHashMap<Long, Boolean> cache;
+    private final Map<Long, Boolean> cache;
     private final List<Long> newlyCached = new ArrayList<>();
     private JsonObject publishedLoad = new JsonObject();
     private HttpServer server;
@@ -72,14 +72,7 @@
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.spec = spec;
-        this.cache = new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-                return size() > spec.cachePrefixes();
-            }
-        };
+        this.cache = BoundedMap.dropLeastRecentlyUsed(spec.cachePrefixes());
     }
 
     /** Starts the engine on {@code host:port} (0 for any free port). */
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,6 +10,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.collect.BoundedMap;
 
 /**
  * Keeps a listener up to date with all keys under a prefix: reads the prefix once, then watches it, and
@@ -39,12 +39,7 @@
     /** Keys that were lost in a restore and not written again yet. */
     private final Set<String> missing = new HashSet<>();
     /** Keys that were deleted; the one deleted last comes last. */
-    private final Map<String, Boolean> deleted = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_DELETED;
-        }
-    };
+    private final Map<String, Boolean> deleted = BoundedMap.dropOldest(MAX_DELETED);
 
     private final Promise<Long> firstLoad = Promise.promise();
     private long epoch;
