--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -556,6 +556,35 @@
             assertThat(fill(1).getFirst().target().info().id(), is("b"));
         }
 
+        /** Guards against calls that wait, or are told to come back too soon, while every target pauses. */
+        @Test
+        void callIsRefusedAtOnceWhileAllTargetsPauseForLong() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            placement.shed(placement.target("a").orElseThrow(), 0, 3_000);
+            placement.shed(placement.target("b").orElseThrow(), 0, 2_000);
+            Verdict verdict = placement.submit(call(1, 100), 100);
+            assertThat(verdict, instanceOf(Verdict.Refuse.class));
+            assertThat(((Verdict.Refuse) verdict).retryAfterMs(), greaterThan(1_899L));
+            assertThat(
+                    sent(placement.submit(call(1, 2_000), 2_000))
+                            .target()
+                            .info()
+                            .id(),
+                    is("b"));
+        }
+
+        /** Guards against a call that waits for a pausing target although another one has a free slot. */
+        @Test
+        void callIsSentToTheTargetThatDoesNotPause() {
+            placement.targetSeen(target("a", "here", true));
+            placement.targetSeen(target("b", "here", true));
+            placement.shed(placement.target("a").orElseThrow(), 0, 3_000);
+            List<String> used =
+                    fill(SLOTS).stream().map(s -> s.target().info().id()).toList();
+            assertThat(used.contains("a"), is(false));
+        }
+
         /** Guards against bytes of other calls on a busy target that end the pause after its refusal. */
         @Test
         void sheddingTargetStaysPausedWhileItsOtherCallsGoOn() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -193,6 +193,7 @@
     /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
     public void storeRestored() {
         config.storeRestored();
+        records.storeRestored();
     }
 
     /** Holds a call that arrived before the first configuration, for a limited time. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
@@ -146,7 +146,7 @@
     }
 
     /** Forgets what the store held, because it was restored from a copy; what it lacks is written again. */
-    public void storeRestored() {
+    void storeRestored() {
         context.runOnContext(v -> {
             quarantineMayBeLost = true;
             storedVersion = 0;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryAfter.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryAfter.java
@@ -8,7 +8,7 @@
     private static final Logger LOG = Logger.getLogger(RetryAfter.class);
     private static final double MS_PER_SECOND = 1_000;
 
-    /** Longest delay that is honoured; a longer one is taken for an error of the target. */
+    /** Longer delays are cut to this one: a target that wants no calls for hours should leave the registry. */
     private static final long MAX_DELAY_MS = 3_600_000;
 
     private RetryAfter() {}
