--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -167,9 +167,9 @@
 
     /**
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
-     * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets refuse
-     * calls, this starts when the first of them will accept some. A peer that has not reported its rates is assumed to
-     * have the same rates as this router.
+     * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
+     * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
+     * assumed to have the same rates as this router.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetHealth.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetHealth.java
@@ -52,8 +52,8 @@
     }
 
     /**
-     * Records that the target refused a call; it gets no calls for as long as it asks, and in any case until some of its
-     * work has had time to end.
+     * Records that the target refused a call; it gets no calls for as long as it asks, and in any case until some of
+     * its work has had time to end.
      *
      * @param retryAfterMs how long it asked for; 0 if it did not say
      */
