--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingSettings.java
@@ -18,8 +18,8 @@
  * @param quotaToleranceUnits units tolerated in addition to that fraction
  * @param rollouts settings of rollouts
  * @param graceMs time from the shutdown signal until the process is killed
- * @param leavingHoldMs how long a target that has announced its shutdown gets no calls, for targets that may start again
- *     under the same id; 0 if every start is registered as a new target
+ * @param leavingHoldMs how long a target that has announced its shutdown gets no calls, for targets that may start
+ *     again under the same id; 0 if every start is registered as a new target
  */
 public record ForwardingSettings(
         String routerId,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
@@ -36,7 +36,7 @@
     private final RouterPeers peers;
     private QuarantineRecord storedQuarantine = new QuarantineRecord(List.of());
     private long storedVersion;
-    /** True after a restore of the store until the quarantine record has been seen: a missing one may have been lost. */
+    /** True after a restore of the store until the quarantine record is seen: a missing one may have been lost. */
     private boolean quarantineMayBeLost;
 
     private long outdatedSinceMs = -1;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -13,8 +13,8 @@
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
- * The targets of a forwarder, as they are registered and as their own responses describe them. The public methods may be
- * called from any thread.
+ * The targets of a forwarder, as they are registered and as their own responses describe them. The public methods may
+ * be called from any thread.
  */
 public final class TargetRegistry {
 
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Whether a draining target never becomes ready again. A registry that was restored from a copy may list it as ready
-     * all the same.
+     * Whether a draining target never becomes ready again. A registry that was restored from a copy may list it as
+     * ready all the same.
      */
     private boolean drainIsFinal() {
         return leavingHoldMs == 0;
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -17,8 +17,9 @@
  * reads it again if the service no longer has the history that the watch needs. During an outage no
  * change is reported. A key is never replaced by an older revision. Runs on the client's context.
  *
- * <p>If the service was restored from a copy, the keys' owners write again what was lost. Until they have had time to, a
- * key that is missing is not reported as deleted, and a key that had been deleted is not reported as created.
+ * <p>If the service was restored from a copy, the keys' owners write again what was lost. Until they have had time to,
+ * a key that is missing is not reported as deleted. A key that had been deleted is reported only once it is written
+ * again.
  */
 public final class KvMirror {
 
