--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ForwardingNodeTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ForwardingNodeTest.java
@@ -8,10 +8,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -34,13 +30,11 @@
     private static final long TIMEOUT_MS = 20_000;
 
     private final Vertx vertx = Vertx.vertx();
-    private final HttpClient client = vertx.createHttpClient();
     private final int port = Ports.free();
+    private final TestCaller caller = TestCaller.create(vertx, port);
     private final List<MultiMap> seen = new CopyOnWriteArrayList<>();
     private final List<AutoCloseable> open = new ArrayList<>();
 
-    private record Answer(int status, String body, MultiMap headers) {}
-
     private int server(String name) {
         return await(vertx.createHttpServer()
                         .requestHandler(r -> {
@@ -69,24 +63,12 @@
         return node;
     }
 
-    private Answer post(String path, String key, String... headers) {
+    private TestCaller.Answer post(String path, String key, String... headers) {
         return await(send(path, key, headers));
     }
 
-    private Future<Answer> send(String path, String key, String... headers) {
-        RequestOptions options = new RequestOptions()
-                .setHost("127.0.0.1")
-                .setPort(port)
-                .setMethod(HttpMethod.POST)
-                .setURI(path)
-                .putHeader("Host", "letters.example")
-                .putHeader(OnyxCallProtocol.API_KEY, key);
-        for (int i = 0; i < headers.length; i += 2) {
-            options.putHeader(headers[i], headers[i + 1]);
-        }
-        return client.request(options)
-                .compose(r -> r.send(Buffer.buffer("list")))
-                .compose(r -> r.body().map(b -> new Answer(r.statusCode(), b.toString(), r.headers())));
+    private Future<TestCaller.Answer> send(String path, String key, String... headers) {
+        return caller.post(path, key, headers);
     }
 
     @AfterEach
@@ -103,7 +85,7 @@
         @Test
         void forwardsToRouteServiceWithWorkspaceAndWithoutApiKey() {
             start(file(server("m1"), ""));
-            Answer a = post("/print/7?copies=2", "k1", "X-Onyx-Workspace", "forged", "X-Other", "kept");
+            TestCaller.Answer a = post("/print/7?copies=2", "k1", "X-Onyx-Workspace", "forged", "X-Other", "kept");
             assertThat(a.body(), is("m1 /print/7?copies=2"));
             MultiMap at = seen.getFirst();
             assertThat(at.get(OnyxCallProtocol.WORKSPACE), is("agency"));
@@ -128,7 +110,7 @@
         void refusalOverQuotaHasRetryAfter() {
             start(file(server("m1"), "quota_per_second = 1\nquota_burst = 1"));
             int served = 0;
-            Answer last = post("/print/1", "k1");
+            TestCaller.Answer last = post("/print/1", "k1");
             for (int i = 0; i < 20 && last.status() == 200; i++) {
                 served++;
                 last = post("/print/1", "k1");
@@ -150,7 +132,7 @@
                     .actualPort();
             String text = file(silent, "").replace("data_centre = here", "data_centre = here\ndrain_timeout_ms = 1000");
             ForwardingNode node = start(text);
-            Future<Answer> answer = send("/print/1", "k1");
+            Future<TestCaller.Answer> answer = send("/print/1", "k1");
             while (seen.isEmpty()) {
                 Thread.onSpinWait();
             }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LeavingTargetTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LeavingTargetTest.java
@@ -3,11 +3,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -29,8 +26,8 @@
     private static final long HOLD_MS = 3_000;
 
     private final Vertx vertx = Vertx.vertx();
-    private final HttpClient client = vertx.createHttpClient();
     private final int port = Ports.free();
+    private final TestCaller caller = TestCaller.create(vertx, port);
     private final AtomicInteger callsOfLeaving = new AtomicInteger();
 
     private final HttpServer leaving = target(true);
@@ -53,18 +50,7 @@
     }
 
     private int call() {
-        RequestOptions options = new RequestOptions()
-                .setHost("127.0.0.1")
-                .setPort(port)
-                .setMethod(HttpMethod.POST)
-                .setURI("/print/1")
-                .putHeader("Host", "letters.example")
-                .putHeader(OnyxCallProtocol.API_KEY, "k1");
-        return Launch.await(
-                client.request(options)
-                        .compose(r -> r.send("list"))
-                        .compose(r -> r.body().map(b -> r.statusCode())),
-                TIMEOUT_MS);
+        return Launch.await(caller.post("/print/1", "k1"), TIMEOUT_MS).status();
     }
 
     @BeforeEach
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SilentStreamTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SilentStreamTest.java
@@ -129,8 +129,7 @@
                 .putHeader("Host", "letters.example")
                 .putHeader(OnyxCallProtocol.API_KEY, "k1");
         return client.request(options)
-                .compose(r -> r.send("brief"))
-                .compose(r -> r.body().map(b -> r.statusCode() + " " + b));
+                .compose(r -> r.send("brief").compose(a -> a.body().map(b -> a.statusCode() + " " + b)));
     }
 
     private ForwardingNode start() {
