Opt-in mechanisms for contended services: settings and switches

Two customers' load exceeds what their targets carry for seconds at a time; the parts that answer it must leave all other deployments as they are. Mechanism gains opt-in values, off by default, ForwardingSettings carries ContentionSettings, and the INI file a checked section [contention].

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
@@ -2,7 +2,10 @@
 
 import java.util.Locale;
 
-/** A part of the placement that can be switched off, so that an experiment can measure its effect. */
+/**
+ * A part of the placement. Most are on, and are switched off only by experiments that measure their effect; the opt-in
+ * ones are for deployments with sustained contention and are switched on by settings.
+ */
 public enum Mechanism {
     /** Calls that can no longer be on time yield to calls of the same rank that can. */
     LATE_YIELD,
@@ -28,7 +31,30 @@
     /** Requests slots from other groups. */
     BORROWING,
     /** Avoids targets where the call could not complete in time or would stall the streams of other calls. */
-    SUITABLE_TARGETS;
+    SUITABLE_TARGETS,
+    /** Shares the slots of a contended service fairly between the workspaces of a rank. */
+    WORKSPACE_SHARES(true),
+    /** Refuses calls that would be refused later, and spreads the retries of refused callers over the free slots. */
+    PLANNED_RETURNS(true),
+    /** Serves short calls of a less urgent rank about as often as calls of the rank above. */
+    SHORT_CALL_SHARES(true),
+    /** Tells short disturbances of a target from its usual speed. */
+    CURRENT_PACE(true);
+
+    private final boolean optIn;
+
+    Mechanism() {
+        this(false);
+    }
+
+    Mechanism(boolean optIn) {
+        this.optIn = optIn;
+    }
+
+    /** Whether the mechanism is off unless the settings switch it on. */
+    public boolean isOptIn() {
+        return optIn;
+    }
 
     /** Returns the name used in reports. */
     public String label() {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PlacementSettings.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PlacementSettings.java
@@ -1,10 +1,13 @@
 package org.onyxhinge.core.place;
 
+import java.util.Arrays;
 import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * The mechanisms that a {@link Placement} uses. All are enabled, except in experiments that measure the effect of one.
+ * The mechanisms that a {@link Placement} uses.
  *
  * @param mechanisms the enabled mechanisms
  */
@@ -15,9 +18,17 @@
         mechanisms = Set.copyOf(mechanisms);
     }
 
-    /** Returns settings with every mechanism enabled. */
+    /** Returns settings with every mechanism enabled that is not opt-in. */
     public static PlacementSettings defaults() {
-        return new PlacementSettings(EnumSet.allOf(Mechanism.class));
+        return new PlacementSettings(
+                Arrays.stream(Mechanism.values()).filter(m -> !m.isOptIn()).collect(Collectors.toSet()));
+    }
+
+    /** Returns a copy with further mechanisms enabled. */
+    public PlacementSettings with(Set<Mechanism> further) {
+        Set<Mechanism> all = new HashSet<>(mechanisms);
+        all.addAll(further);
+        return new PlacementSettings(all);
     }
 
     /** Returns a copy with one mechanism disabled. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -21,7 +21,6 @@
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallerDeadlines;
 import org.onyxhinge.core.place.Placement;
-import org.onyxhinge.core.place.PlacementSettings;
 import org.onyxhinge.core.place.ResponseLengthEstimator;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.route.ForwardingConfig;
@@ -90,7 +89,10 @@
         this.config = new ActiveConfig(freshness);
         this.metrics = ForwardingMetrics.create(m);
         this.placement = Placement.create(
-                settings.routerId(), settings.dataCentre(), PlacementSettings.defaults(), this::slotReserved);
+                settings.routerId(),
+                settings.dataCentre(),
+                settings.contention().placement(),
+                this::slotReserved);
         this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.shutdown = new GracefulShutdown(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -10,6 +11,7 @@
 import java.util.Set;
 
 import io.vavr.control.Either;
+import org.onyxhinge.core.place.Mechanism;
 import org.onyxhinge.core.place.Target;
 import org.onyxhinge.core.rollout.RolloutLimits;
 import org.onyxhinge.core.rollout.RolloutOrder;
@@ -21,14 +23,16 @@
 import org.onyxhinge.core.route.ServiceShare;
 import org.onyxhinge.core.route.TargetService;
 import org.onyxhinge.core.route.WorkspaceAccess;
+import org.onyxhinge.router.forward.ContentionSettings;
 import org.onyxhinge.router.forward.ForwardingSettings;
+import org.onyxhinge.router.forward.ReaderLimits;
 import org.onyxhinge.router.forward.RolloutSettings;
 import org.onyxhinge.runtime.HostPort;
 import org.onyxhinge.runtime.Settings;
 import org.onyxhinge.runtime.SettingsException;
 
 /**
- * Reads a forwarding router's INI file: {@code [router]}, {@code [limits]}, {@code [retries]} and one section for
+ * Reads a forwarding router's INI file: {@code [router]}, {@code [limits]}, {@code [retries]}, {@code [rollouts]}, {@code [contention]} and one section for
  * each {@code route}, {@code service}, {@code workspace}, {@code target}, {@code peer} and {@code rollout}. See {@code
  * examples/forward.ini}.
  */
@@ -37,6 +41,7 @@
     private static final long MAX_MS = 86_400_000;
     private static final long MAX_UNITS = 1_000_000_000_000L;
     private static final double PERCENT = 100;
+    private static final long MAX_BUFFER_BYTES = 1L << 40;
 
     private final Settings file;
     private final long version;
@@ -77,7 +82,7 @@
                     case "target" -> targets.add(target(section, name));
                     case "peer" -> peers.put(name, peer(section));
                     case "rollout" -> rollouts.add(rollout(section, name));
-                    case "router", "limits", "retries", "rollouts" -> {
+                    case "router", "limits", "retries", "rollouts", "contention" -> {
                         // Read before the loop.
                     }
                     default -> file.problem(section, "-", "unknown section");
@@ -120,7 +125,25 @@
                                 file.number("rollouts", "exposure_allowance", 0, 0, MAX_UNITS)),
                         false),
                 file.number("router", "drain_timeout_ms", 30_000, 1_000, MAX_MS),
-                file.number("router", "leaving_hold_ms", 60_000, 1_000, MAX_MS));
+                file.number("router", "leaving_hold_ms", 60_000, 1_000, MAX_MS),
+                contention());
+    }
+
+    private ContentionSettings contention() {
+        Set<Mechanism> mechanisms = EnumSet.noneOf(Mechanism.class);
+        for (Mechanism m : Mechanism.values()) {
+            String key = m.name().toLowerCase(Locale.ROOT);
+            if (m.isOptIn() && file.flag("contention", key, false)) {
+                mechanisms.add(m);
+            }
+        }
+        return new ContentionSettings(
+                mechanisms,
+                file.flag("contention", "repeat_limits", false),
+                new ReaderLimits(
+                        file.number("contention", "reader_buffer_bytes", 0, 0, MAX_BUFFER_BYTES),
+                        file.number("contention", "readers_buffer_bytes", 0, 0, MAX_BUFFER_BYTES),
+                        file.number("contention", "reader_stall_ms", ReaderLimits.DEFAULT_STALL_MS, 100, MAX_MS)));
     }
 
     private EdgeLimits limits() {
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -80,7 +80,8 @@
                     0,
                     RolloutFixtures.SETTINGS,
                     1_000,
-                    0);
+                    0,
+                    ContentionSettings.none());
             this.peers = runOnContext(() -> RouterPeers.start(ownVertx, settings, this));
         }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
@@ -29,7 +29,23 @@
 
     private final WorkspaceQuotas quotas = new WorkspaceQuotas(
             new ForwardingSettings(
-                    "r1", "here", "", 0, "", 0, 0, 0, 0, 0, WINDOW_MS, 0, 0, RolloutFixtures.SETTINGS, 0, 0),
+                    "r1",
+                    "here",
+                    "",
+                    0,
+                    "",
+                    0,
+                    0,
+                    0,
+                    0,
+                    0,
+                    WINDOW_MS,
+                    0,
+                    0,
+                    RolloutFixtures.SETTINGS,
+                    0,
+                    0,
+                    ContentionSettings.none()),
             0);
 
     /** A call checked against a configuration that allows its workspace {@code perSecond} calls per second. */
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.onyxhinge.core.place.Mechanism;
 import org.onyxhinge.core.place.PlacementSettings;
@@ -39,13 +40,21 @@
         }
     }
 
-    /** Returns the current policy, variants with one mechanism or the peer updates disabled, and the baselines. */
+    /** Returns the current policy, variants with one mechanism switched or the peer updates disabled, and the baselines. */
     static List<FleetPolicy> all() {
         List<FleetPolicy> all = new ArrayList<>();
         all.add(new PlacementPolicy("landed", PlacementSettings.defaults(), true));
         for (Mechanism m : Mechanism.values()) {
-            all.add(new PlacementPolicy(
-                    "no-" + m.label(), PlacementSettings.defaults().without(m), true));
+            all.add(
+                    m.isOptIn()
+                            ? new PlacementPolicy(
+                                    "with-" + m.label(),
+                                    PlacementSettings.defaults().with(Set.of(m)),
+                                    true)
+                            : new PlacementPolicy(
+                                    "no-" + m.label(),
+                                    PlacementSettings.defaults().without(m),
+                                    true));
         }
         all.add(new PlacementPolicy("no-peers", PlacementSettings.defaults(), false));
         all.add(new RoundRobin());
