--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
@@ -32,9 +32,9 @@
 import org.onyxhinge.runtime.SettingsException;
 
 /**
- * Reads a forwarding router's INI file: {@code [router]}, {@code [limits]}, {@code [retries]}, {@code [rollouts]}, {@code [contention]} and one section for
- * each {@code route}, {@code service}, {@code workspace}, {@code target}, {@code peer} and {@code rollout}. See {@code
- * examples/forward.ini}.
+ * Reads a forwarding router's INI file: {@code [router]}, {@code [limits]}, {@code [retries]}, {@code [rollouts]},
+ * {@code [contention]} and one section for each {@code route}, {@code service}, {@code workspace}, {@code target},
+ * {@code peer} and {@code rollout}. See {@code examples/forward.ini}.
  */
 public final class ForwardingFile {
 
