Routers of a data centre recognize the retries of what they have refused

Cause: a retry is known only by its shorter deadline. Where callers' deadlines differ by 15 %, a retry after 0.7 s of 10 s looks like a first attempt that can still be on time and takes a slot before one; its answer is late in any case. Change: RefusedRequests, a bounded record by hash and deadline, shared within the data centre by a batched message; off by default.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -45,7 +45,7 @@
      */
     static CallPlan of(CallCheck.Allowed check, long arrivedAtMs, long waitedBeforeMs) {
         Route route = check.route();
-        long deadlineMs = Math.min(check.head().deadlineMs(), route.timeoutMs());
+        long deadlineMs = deadlineMs(check.head(), route);
         return new CallPlan(
                 check.head(),
                 check.config(),
@@ -56,6 +56,27 @@
                 CallTimes.of(arrivedAtMs, waitedBeforeMs, route.targetLatencyMs(), deadlineMs));
     }
 
+    /** The same plan with the deadlines of a request whose caller's first attempt arrived earlier. */
+    CallPlan firstArrivedAt(long firstArrivalMs) {
+        CallTimes updated = CallTimes.of(
+                arrivedAtMs, arrivedAtMs - firstArrivalMs, route.targetLatencyMs(), deadlineMs(head, route));
+        return new CallPlan(head, config, route, workspace, service, arrivedAtMs, updated);
+    }
+
+    /** When the caller's first attempt arrived, as far as known. */
+    long firstArrivalMs() {
+        return times.firstByteDeadlineMs() - route.targetLatencyMs();
+    }
+
+    /** When the caller stops waiting. */
+    long callerDeadlineMs() {
+        return arrivedAtMs + head.deadlineMs();
+    }
+
+    private static long deadlineMs(CallHead head, Route route) {
+        return Math.min(head.deadlineMs(), route.timeoutMs());
+    }
+
     long remainingMs() {
         return times.responseDeadlineMs() - MonotonicClock.nowMs();
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -115,6 +115,7 @@
                     body = received;
                     if (!finished) {
                         fingerprint = plan.fingerprint(request, received);
+                        plan = forwarder.retryRecognition().recognize(plan, fingerprint);
                         logEntry.fingerprint = fingerprint;
                         admit();
                     }
@@ -472,6 +473,9 @@
     private void sendRefusal(int status, String why, long retryAfterMs) {
         forwarder.metrics().event("refused." + why);
         forwarder.deadlines().refused(MonotonicClock.nowMs());
+        if (plan != null) {
+            forwarder.retryRecognition().refused(plan, fingerprint, retryAfterMs);
+        }
         caller.refuse(status, why, retryAfterMs);
         end("refused", why);
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private final CrashQuarantine crashQuarantine;
     private final TargetRateLimits targetLimits;
     private final Rollouts rollouts;
+    private final RetryRecognition retryRecognition;
     private final PeerDelegate peerDelegate;
     private final GracefulShutdown shutdown;
     private final CallerConnections callers = new CallerConnections();
@@ -81,13 +82,13 @@
             ForwardingSettings settings,
             CallProtocol protocol,
             ConfigFreshness freshness,
-            MetricRegistry m) {
+            MetricRegistry registry) {
         this.vertx = vertx;
         this.settings = settings;
         this.protocol = protocol;
         this.freshness = freshness;
         this.config = new ActiveConfig(freshness);
-        this.metrics = ForwardingMetrics.create(m);
+        this.metrics = ForwardingMetrics.create(registry);
         this.placement = Placement.create(
                 settings.routerId(),
                 settings.dataCentre(),
@@ -100,8 +101,17 @@
         this.crashQuarantine = new CrashQuarantine(vertx, connections, metrics, this::broadcast, calls::quarantined);
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
         this.rollouts = new Rollouts(this, settings.rollouts());
+        this.retryRecognition = new RetryRecognition(
+                vertx, settings.contention().retryRecognition(), m -> peers.sendToDataCentre(m), metrics);
         this.peerDelegate = new PeerDelegate(
-                placement, quotas, crashQuarantine, targetLimits, rollouts, metrics, this::peerUsageChanged);
+                placement,
+                quotas,
+                crashQuarantine,
+                targetLimits,
+                rollouts,
+                retryRecognition,
+                metrics,
+                this::peerUsageChanged);
     }
 
     /** Starts listening for callers and other routers; calls are refused until a configuration arrives. */
@@ -269,6 +279,7 @@
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
                 .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
                 .put("targetLimits", placement.limits().size())
+                .put("refusedRequests", retryRecognition.size())
                 .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
                 .put("routersKnown", peers.expectedRouters())
                 .put("routersHeardPart", peers.heardPart())));
@@ -351,6 +362,10 @@
         return rollouts;
     }
 
+    RetryRecognition retryRecognition() {
+        return retryRecognition;
+    }
+
     /**
      * The configuration that calls are checked against; empty until usage received from peers before the first
      * configuration has been counted.
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -21,6 +21,7 @@
     private final CrashQuarantine crashQuarantine;
     private final TargetRateLimits targetLimits;
     private final Rollouts rollouts;
+    private final RetryRecognition retryRecognition;
     private final ForwardingMetrics metrics;
     private final Runnable onChange;
     private final List<PeerMessage.Usage> pendingUsage = new ArrayList<>();
@@ -37,6 +38,7 @@
             CrashQuarantine crashQuarantine,
             TargetRateLimits targetLimits,
             Rollouts rollouts,
+            RetryRecognition retryRecognition,
             ForwardingMetrics metrics,
             Runnable onChange) {
         this.placement = placement;
@@ -44,6 +46,7 @@
         this.crashQuarantine = crashQuarantine;
         this.targetLimits = targetLimits;
         this.rollouts = rollouts;
+        this.retryRecognition = retryRecognition;
         this.metrics = metrics;
         this.onChange = onChange;
     }
@@ -174,6 +177,11 @@
         rollouts.receive(report);
     }
 
+    @Override
+    public void onRefusedRequests(PeerMessage.RefusedRequests refused) {
+        retryRecognition.receive(refused);
+    }
+
     @Override
     public void onAnswered(PeerMessage.SuspectCompleted answered) {
         crashQuarantine.receive(answered);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
@@ -36,6 +36,7 @@
 
     private final String routerId;
     private final HostPort address;
+    private final String dataCentre;
     private final Runnable onRefused;
     private PeerConnection connection;
     private long connectedAtMs;
@@ -59,9 +60,10 @@
      *
      * @param onRefused called when the peer's VM refuses a connection, which means that its process is not running
      */
-    PeerLink(String routerId, HostPort address, Runnable onRefused) {
+    PeerLink(String routerId, HostPort address, String dataCentre, Runnable onRefused) {
         this.routerId = routerId;
         this.address = address;
+        this.dataCentre = dataCentre;
         this.onRefused = onRefused;
     }
 
@@ -69,6 +71,11 @@
         return address;
     }
 
+    /** The peer's data centre; "" if unknown. */
+    String dataCentre() {
+        return dataCentre;
+    }
+
     boolean connected() {
         return connection != null;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -108,6 +108,9 @@
         /** Called when a request no longer counts as a suspect. */
         void onAnswered(PeerMessage.SuspectCompleted answered);
 
+        /** Called with requests that another router of the data centre has refused. */
+        void onRefusedRequests(PeerMessage.RefusedRequests refused);
+
         /** Called with targets' rate limits. */
         void onTargetLimits(PeerMessage.TargetLimits limits);
 
@@ -153,7 +156,9 @@
         }
         delegate.onRouterJoined(routerId, dataCentre);
         PeerLink existing = links.get(routerId);
-        if (existing != null && existing.address().equals(address)) {
+        if (existing != null
+                && existing.address().equals(address)
+                && existing.dataCentre().equals(dataCentre)) {
             return;
         }
         if (existing != null) {
@@ -162,7 +167,11 @@
         LOG.infof("router joined router=%s address=%s", routerId, address);
         links.put(
                 routerId,
-                new PeerLink(routerId, address, () -> usageTracker.markEnded(routerId, delegate::onRouterSilent)));
+                new PeerLink(
+                        routerId,
+                        address,
+                        dataCentre,
+                        () -> usageTracker.markEnded(routerId, delegate::onRouterSilent)));
     }
 
     /** Records that a router is no longer registered. */
@@ -226,6 +235,7 @@
             case PeerMessage.Crashes c -> delegate.onCrashes(c);
             case PeerMessage.SuspectCompleted a -> delegate.onAnswered(a);
             case PeerMessage.TargetLimits l -> delegate.onTargetLimits(l);
+            case PeerMessage.RefusedRequests r -> delegate.onRefusedRequests(r);
             case PeerMessage.RolloutUpdate u -> delegate.onRolloutUpdate(u);
             case PeerMessage.RolloutReport r -> delegate.onRolloutReport(r);
             default ->
@@ -302,6 +312,13 @@
         links.values().forEach(l -> l.sendReliably(message));
     }
 
+    /** Sends a message to the other routers of this data centre; it is dropped where there is no connection. */
+    void sendToDataCentre(PeerMessage message) {
+        links.values().stream()
+                .filter(l -> l.dataCentre().equals(settings.dataCentre()))
+                .forEach(l -> l.sendBestEffort(message));
+    }
+
     /** Sends a message to one router; it is dropped if there is no connection. */
     void sendBestEffort(String routerId, PeerMessage message) {
         Optional.ofNullable(links.get(routerId)).ifPresent(l -> l.sendBestEffort(message));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingFile.java
@@ -139,6 +139,7 @@
         }
         return new ContentionSettings(
                 mechanisms,
+                file.flag("contention", "retry_recognition", false),
                 file.flag("contention", "repeat_limits", false),
                 new ReaderLimits(
                         file.number("contention", "reader_buffer_bytes", 0, 0, MAX_BUFFER_BYTES),
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -152,6 +152,9 @@
                     new PeerMessage.Crashes(List.copyOf(crashes)), new PeerMessage.TargetLimits(List.copyOf(limits)));
         }
 
+        @Override
+        public void onRefusedRequests(PeerMessage.RefusedRequests refused) {}
+
         @Override
         public void onTargetLimits(PeerMessage.TargetLimits message) {
             receivedLimits.addAll(message.limits());
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -44,6 +44,7 @@
     private static final int TARGET_LIMITS = 16;
     private static final int ROLLOUT_UPDATE = 17;
     private static final int ROLLOUT_REPORT = 18;
+    private static final int REFUSED_REQUESTS = 19;
     private static final int USAGE_FIELDS = 8;
     /** Routers of the previous version send no rates. */
     private static final int USAGE_FIELDS_WITHOUT_RATES = 7;
@@ -106,6 +107,8 @@
                 RolloutCodec.write(writeHeader(p, ROLLOUT_UPDATE, RolloutCodec.UPDATE_FIELDS), u);
             case PeerMessage.RolloutReport r ->
                 RolloutCodec.write(writeHeader(p, ROLLOUT_REPORT, RolloutCodec.REPORT_FIELDS), r);
+            case PeerMessage.RefusedRequests r ->
+                RefusalCodec.write(writeHeader(p, REFUSED_REQUESTS, RefusalCodec.FIELDS), r);
             case PeerMessage.OrderReply o ->
                 writeHeader(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -273,6 +276,7 @@
             case TARGET_LIMITS -> readLimits(u, fields);
             case ROLLOUT_UPDATE -> RolloutCodec.readUpdate(requireFields(u, fields, RolloutCodec.UPDATE_FIELDS));
             case ROLLOUT_REPORT -> RolloutCodec.readReport(requireFields(u, fields, RolloutCodec.REPORT_FIELDS));
+            case REFUSED_REQUESTS -> RefusalCodec.read(requireFields(u, fields, RefusalCodec.FIELDS));
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         requireFields(u, fields, 3).unpackLong(),
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -231,6 +231,29 @@
      */
     record LimitReport(String incarnation, boolean advertised, double perSecond, long agoMs) {}
 
+    /**
+     * Requests that the sender has refused, for the routers that their callers may retry at.
+     *
+     * @param requests the refused requests
+     */
+    record RefusedRequests(List<RefusedRequest> requests) implements RouterToRouter {
+
+        /** Copies the list. */
+        public RefusedRequests {
+            requests = List.copyOf(requests);
+        }
+    }
+
+    /**
+     * A refused request. Times are relative to the sending, because the clocks of routers differ.
+     *
+     * @param key identifies what was requested, whatever id the attempt had
+     * @param firstArrivalAgoMs time since the caller's first attempt arrived
+     * @param deadlineInMs time until the caller stops waiting
+     * @param retryInMs time until the caller was told to retry
+     */
+    record RefusedRequest(int key, long firstArrivalAgoMs, long deadlineInMs, long retryInMs) {}
+
     /**
      * The phase of a rollout. A rollback is reported when it is decided, any other phase once it is recorded.
      *
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -97,6 +97,9 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(crashes)), equalTo(crashes));
         PeerMessage.TargetLimits limits = limits(startId);
         assertThat(PeerCodec.decode(PeerCodec.encode(limits)), equalTo(limits));
+        PeerMessage.RefusedRequests refused =
+                new PeerMessage.RefusedRequests(List.of(new PeerMessage.RefusedRequest(7, startId, -3, 900)));
+        assertThat(PeerCodec.decode(PeerCodec.encode(refused)), equalTo(refused));
         PeerMessage.SuspectCompleted answered =
                 new PeerMessage.SuspectCompleted(new RequestFingerprint(startId, 2), startId);
         assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
