Queue order in which calls that can be on time come before late ones of any rank

Cause: in an overload late calls of urgent ranks hold slots in which others would be on time, and calls that turn late in the queue are overtaken by every arrival of their rank and refused after a second; the estimate on arrival did not know it. Change: opt-in QueueOrder.ON_TIME_FIRST; the estimate of a call that will be late by its turn counts all arrivals before it.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
@@ -38,6 +38,8 @@
     PLANNED_RETURNS(true),
     /** Serves short calls of a less urgent rank about as often as calls of the rank above. */
     SHORT_CALL_SHARES(true),
+    /** Calls that can no longer be on time yield to calls of any rank that can. */
+    ON_TIME_FIRST(true),
     /** Tells short disturbances of a target from its usual speed. */
     CURRENT_PACE(true);
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -204,8 +204,8 @@
         ServiceDemand demand = demand(call.service());
         int rank = demand.arrived(call, nowMs);
         WaitingCalls queue = demand.waiting();
-        if (queue.ahead(rank, c -> true) == 0) {
-            int precedence = Precedence.of(rank, service.canBeOnTime(call, nowMs));
+        if (!demand.anyAhead(call, rank, service, nowMs)) {
+            int precedence = demand.precedence(call, rank, service, nowMs);
             Optional<TargetState> free = slots.slotFor(service, demand, call, precedence, nowMs);
             if (free.isPresent()) {
                 return send(call, free.get(), nowMs);
@@ -271,8 +271,8 @@
             return false;
         }
         ServiceDemand demand = demand(call.service());
-        int precedence = Precedence.of(call.rank(), service.canBeOnTime(call, nowMs));
-        return demand.waiting().ahead(call.rank(), c -> true) == 0
+        int precedence = demand.precedence(call, call.rank(), service, nowMs);
+        return !demand.anyAhead(call, call.rank(), service, nowMs)
                 && slots.hasSlotFor(service, demand, call, precedence, nowMs);
     }
 
@@ -447,6 +447,7 @@
     }
 
     private ServiceDemand demand(String service) {
-        return demands.computeIfAbsent(service, s -> new ServiceDemand(settings.uses(Mechanism.LEAST_SHARE)));
+        return demands.computeIfAbsent(
+                service, s -> new ServiceDemand(QueueOrder.of(settings), settings.uses(Mechanism.LEAST_SHARE)));
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -21,10 +21,13 @@
     /** Initial average of the time a call holds its slot. */
     private static final double INITIAL_HOLD_TIME_MS = 1_000;
 
+    private static final int ALL_RANKS = Integer.MAX_VALUE;
+
     /** Fraction of the full-load turnover that is assumed while not all slots are in use. */
     private static final double ASSUMED_TURNOVER_FRACTION = 0.7;
 
-    private final WaitingCalls waiting = new WaitingCalls();
+    private final QueueOrder order;
+    private final WaitingCalls waiting;
     private final Rate freed = new Rate();
     private final Map<Integer, Rate> arrivalRates = new TreeMap<>();
     private final Map<Call, Long> sentAtMs = new IdentityHashMap<>();
@@ -48,9 +51,12 @@
     /**
      * Creates the demand of a service without calls.
      *
+     * @param order order of the queued calls
      * @param minimumShare whether calls of a rank with too small a share of the slots are promoted
      */
-    ServiceDemand(boolean minimumShare) {
+    ServiceDemand(QueueOrder order, boolean minimumShare) {
+        this.order = order;
+        this.waiting = new WaitingCalls(order);
         this.minimumShare = minimumShare;
     }
 
@@ -59,6 +65,20 @@
         return waiting;
     }
 
+    /** The precedence of a call that is queued with a rank. */
+    int precedence(Call call, int rank, ServiceTargets targets, long nowMs) {
+        return order.precedence(rank, targets.canBeOnTime(call, nowMs));
+    }
+
+    /** Whether any call queued here precedes a new call with a rank. */
+    boolean anyAhead(Call call, int rank, ServiceTargets targets, long nowMs) {
+        return switch (order) {
+            case RANK_FIRST -> waiting.ahead(Precedence.of(rank, true), c -> true) > 0;
+            case ON_TIME_FIRST ->
+                waiting.ahead(precedence(call, rank, targets, nowMs), c -> targets.canBeOnTime(c, nowMs)) > 0;
+        };
+    }
+
     /** Records a call that arrives or needs a further target; returns the rank it is queued with. */
     int arrived(Call call, long nowMs) {
         arrivalRates.computeIfAbsent(call.rank(), r -> new Rate()).event(nowMs);
@@ -169,12 +189,29 @@
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
      * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
      * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
-     * assumed to have the same rates as this router.
+     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late by
+     * the end of its wait also waits for all arrivals.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
      */
     WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
+        if (order == QueueOrder.RANK_FIRST) {
+            return expectedWait(Precedence.of(rank, true), rank, targets, routers, nowMs);
+        }
+        int onTime = order.precedence(rank, true);
+        WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
+        return targets.canBeOnTime(call, nowMs + estimate.waitMs())
+                ? estimate
+                : expectedWait(order.precedence(rank, false), ALL_RANKS, targets, routers, nowMs);
+    }
+
+    /**
+     * Estimates the wait of a call with a precedence.
+     *
+     * @param rank arrivals of more urgent ranks than this one precede the call
+     */
+    private WaitEstimate expectedWait(int precedence, int rank, ServiceTargets targets, int routers, long nowMs) {
         ServiceRates own = rates(nowMs);
         double unreportedRouters = routers - peerRates.size();
         double freedPerSecond = own.freed() * unreportedRouters;
@@ -183,9 +220,9 @@
             freedPerSecond += r.freed();
             urgentPerSecond += r.arrivedBefore(rank);
         }
-        int ahead = waiting.ahead(rank, c -> targets.canBeOnTime(c, nowMs));
+        int ahead = waiting.ahead(precedence, c -> targets.canBeOnTime(c, nowMs));
         for (PeerDemand d : peers.values()) {
-            ahead += d.waitingUpTo(Precedence.of(rank, true));
+            ahead += d.waitingUpTo(precedence);
         }
         return WaitEstimate.of(
                 targets.refusedForMs(nowMs),
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -8,13 +8,18 @@
 import java.util.function.Predicate;
 
 /**
- * Queued calls of one service, ordered by the rank they are queued with. Within a rank, calls that can still be on time
- * precede those that cannot; otherwise one burst would make every later call late as well. Among these, retries of
- * refused callers come first, then calls in order of arrival.
+ * Queued calls of one service, ordered by the rank they are queued with and by whether they can still be on time;
+ * without the latter, one burst would make every later call late as well. Among equals, retries of refused callers come
+ * first, then calls in order of arrival.
  */
 final class WaitingCalls {
 
     private final List<Entry> calls = new ArrayList<>();
+    private final QueueOrder order;
+
+    WaitingCalls(QueueOrder order) {
+        this.order = order;
+    }
 
     /**
      * A queued call.
@@ -42,7 +47,7 @@
     /** Number of calls per {@link Precedence}. */
     Map<Integer, Integer> countByPrecedence(Predicate<Call> onTime) {
         Map<Integer, Integer> out = new HashMap<>();
-        calls.forEach(e -> out.merge(Precedence.of(e.rank(), onTime.test(e.call())), 1, Integer::sum));
+        calls.forEach(e -> out.merge(precedence(e, onTime), 1, Integer::sum));
         return out;
     }
 
@@ -51,7 +56,7 @@
         Map<Integer, Integer> out = new HashMap<>();
         calls.stream()
                 .filter(e -> e.sinceMs() <= sinceMs)
-                .forEach(e -> out.merge(Precedence.of(e.rank(), onTime.test(e.call())), 1, Integer::sum));
+                .forEach(e -> out.merge(precedence(e, onTime), 1, Integer::sum));
         return out;
     }
 
@@ -76,7 +81,7 @@
         List<OrderedCall> out = new ArrayList<>();
         for (int i = 0; i < calls.size(); i++) {
             Entry e = calls.get(i);
-            out.add(new OrderedCall(e, Precedence.of(e.rank(), onTime.test(e.call())), i));
+            out.add(new OrderedCall(e, precedence(e, onTime), i));
         }
         out.sort(Comparator.comparingInt(OrderedCall::precedence)
                 .thenComparing(t -> !t.entry().call().isRetry())
@@ -84,12 +89,20 @@
         return out;
     }
 
-    /** Number of calls that precede a new call queued with {@code rank} that can be on time. */
-    int ahead(int rank, Predicate<Call> onTime) {
+    /**
+     * Number of calls that precede a new call.
+     *
+     * @param precedence precedence of the new call
+     */
+    int ahead(int precedence, Predicate<Call> onTime) {
         int n = 0;
         for (Entry e : calls) {
-            n += e.rank() < rank || e.rank() == rank && onTime.test(e.call()) ? 1 : 0;
+            n += precedence(e, onTime) <= precedence ? 1 : 0;
         }
         return n;
     }
+
+    private int precedence(Entry e, Predicate<Call> onTime) {
+        return order.precedence(e.rank(), onTime.test(e.call()));
+    }
 }
