--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
@@ -40,7 +40,7 @@
         }
     }
 
-    /** Returns the current policy, variants with one mechanism switched or the peer updates disabled, and the baselines. */
+    /** Returns the current policy, variants with one mechanism or the peer updates switched, and the baselines. */
     static List<FleetPolicy> all() {
         List<FleetPolicy> all = new ArrayList<>();
         all.add(new PlacementPolicy("landed", PlacementSettings.defaults(), true));
