--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -189,8 +189,8 @@
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
      * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
      * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
-     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late by
-     * the end of its wait also waits for all arrivals.
+     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late
+     * by the end of its wait also waits for all arrivals.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/OnTimeFirstTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/OnTimeFirstTest.java
@@ -76,7 +76,7 @@
             assertThat(nextSent(placement, running.get(0)), is(urgent));
         }
 
-        /** Guards against callers that wait in vain: a late call is overtaken by every arrival, so it is refused now. */
+        /** Guards against callers that wait in vain, since every arrival overtakes a late call. */
         @Test
         void callThatWillBeLateIsRefusedOnArrivalWhileOthersKeepArriving() {
             for (long ms = NOW_MS - 2_000; ms < NOW_MS; ms += 20) {
