Long prompts are kept off targets whose streams they would pause

Cause: an engine reads prompts between the tokens of its streams. Placement checked a prompt by itself, not together with those that the target still has to read, and up to the whole allowed gap; on the slowest targets of the scheduling site 25 to 30 % of the streams had a gap above the bound. Change: opt-in PROMPT_SPREADING; a call goes to a target that keeps its gaps within 0.7 of the allowed one with all queued prompts, or waits for it, and the next suitable call takes the other slot.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -210,11 +210,14 @@
         double bestCost = Double.MAX_VALUE;
         double meanFailures = meanFailureRate();
         int penaltiesLeft = (int) (ownTargets.size() * MAX_PENALIZED_FRACTION);
-        boolean anySuits = settings.uses(Mechanism.SUITABLE_TARGETS) && anySuits(call, nowMs);
+        boolean anySuits = settings.uses(Mechanism.SUITABLE_TARGETS) && anySuits(call, nowMs, t -> true);
+        boolean spreadPrompts =
+                settings.uses(Mechanism.PROMPT_SPREADING) && anySuits(call, nowMs, t -> t.keepsGapsAlone(call));
         for (TargetState t : usableTargets(nowMs)) {
             if (!t.isAvailable(nowMs)
                     || call.avoid().contains(t.incarnation())
                     || anySuits && !t.suits(call, nowMs)
+                    || spreadPrompts && !t.keepsGaps(call)
                     || !mayTake.test(t)) {
                 continue;
             }
@@ -303,12 +306,16 @@
     }
 
     /**
-     * Whether any target suits a call. Targets with a rate limit, or that refuse calls for now, do not count: calls do
+     * Whether any target suits a call and meets a further condition. Targets with a rate limit, or that refuse calls for now, do not count: calls do
      * not wait for a target that accepts only a few per second, or none.
      */
-    private boolean anySuits(Call call, long nowMs) {
+    private boolean anySuits(Call call, long nowMs, Predicate<TargetState> condition) {
         for (TargetState t : ownTargets) {
-            if (t.takesCalls() && t.limit().isEmpty() && !t.health().refusesCalls(nowMs) && t.suits(call, nowMs)) {
+            if (t.takesCalls()
+                    && t.limit().isEmpty()
+                    && !t.health().refusesCalls(nowMs)
+                    && t.suits(call, nowMs)
+                    && condition.test(t)) {
                 return true;
             }
         }
@@ -318,7 +325,10 @@
     /** Whether a call may be sent to only some of this group's targets. */
     boolean restrictsTargets(Call call, long nowMs) {
         for (TargetState t : ownTargets) {
-            if (t.takesCalls() && (call.avoid().contains(t.incarnation()) || !t.suits(call, nowMs))) {
+            if (t.takesCalls()
+                    && (call.avoid().contains(t.incarnation())
+                            || !t.suits(call, nowMs)
+                            || settings.uses(Mechanism.PROMPT_SPREADING) && !t.keepsGaps(call))) {
                 return true;
             }
         }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -17,6 +17,9 @@
      */
     private static final double FULL_BATCH_COST = 0.3;
 
+    /** Leaves room for a target that is slower than it recently was. */
+    private static final double SAFE_GAP_FRACTION = 0.7;
+
     private static final int ALL_GROUPS = -1;
 
     private final ServiceTargets service;
@@ -293,6 +296,24 @@
                 && (call.gapTargetMs() == 0 || pauseMs <= call.gapTargetMs());
     }
 
+    /**
+     * Whether the streams of this target would keep their gaps within {@code SAFE_GAP_FRACTION} of what a call allows
+     * while it reads the prompt of the call and those that are queued before it.
+     */
+    boolean keepsGaps(Call call) {
+        return keepsGaps(call, ownPrefillTokens + peerPrefillTokens);
+    }
+
+    /** Like {@link #keepsGaps(Call)} once the queued prompts have been read. */
+    boolean keepsGapsAlone(Call call) {
+        return keepsGaps(call, 0);
+    }
+
+    private boolean keepsGaps(Call call, long tokensAhead) {
+        double gapWhileReadingMs = (tokensAhead + call.promptTokens()) * prefillMs.valueMs() + gapMs.valueMs();
+        return call.gapTargetMs() == 0 || gapWhileReadingMs <= SAFE_GAP_FRACTION * call.gapTargetMs();
+    }
+
     /**
      * Records that a call is sent to this target.
      *
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.tools.fleet;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 
@@ -56,6 +57,7 @@
                                     PlacementSettings.defaults().without(m),
                                     true));
         }
+        all.add(new PlacementPolicy("all-mechanisms", new PlacementSettings(EnumSet.allOf(Mechanism.class)), true));
         all.add(new PlacementPolicy("no-peers", PlacementSettings.defaults(), false));
         all.add(new RoundRobin());
         all.add(new LeastOutstanding());
