--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -306,8 +306,8 @@
     }
 
     /**
-     * Whether any target suits a call and meets a further condition. Targets with a rate limit, or that refuse calls for
-     * now, do not count: calls do not wait for a target that accepts only a few per second, or none.
+     * Whether any target suits a call and meets a further condition. Targets with a rate limit, or that refuse calls
+     * for now, do not count: calls do not wait for a target that accepts only a few per second, or none.
      */
     private boolean anySuits(Call call, long nowMs, Predicate<TargetState> condition) {
         for (TargetState t : ownTargets) {
