A target whose stream the router has paused is not silent

A caller that does not read pauses its target's stream through backpressure. SilenceDetector counted that time, so the router took the target for lost, moved the stream to another target and sent the first one no calls. Silence now counts from the end of the pause.

The time also counted as a gap between the target's events and as slowness of a version on trial.

Before the fix, SlowReaderTest failed with bytes instead of: the stream had been moved and began again. UnreadTimeTest failed with a gap of 301 ms and a version judged slow.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AnswerObserver.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AnswerObserver.java
@@ -12,6 +12,9 @@
     /** Called with the time at which bytes of a stream were received. */
     default void streamBytes(long atMs) {}
 
+    /** Called with a time during which this router did not read the stream because its caller reads slowly. */
+    default void notRead(long ms) {}
+
     /** Called when the response is complete, with whether it is a success. */
     default void ended(boolean success) {}
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -35,6 +35,10 @@
     private boolean ended;
     private long sentAtMs = -1;
     private long lastByteAtMs;
+    /** Whether this router has stopped reading the response because its caller reads slowly. */
+    private boolean paused;
+
+    private long pausedAtMs;
     private Buffer body;
 
     /** Supplies the request of an attempt and receives its events. */
@@ -324,14 +328,21 @@
         }
     }
 
+    /** Stops reading the response until the caller has read what is buffered for it. */
     void pause() {
         if (response != null) {
+            paused = true;
+            pausedAtMs = MonotonicClock.nowMs();
             response.pause();
         }
     }
 
+    /** Continues reading; the target's silence is measured from now on. */
     void resume() {
         if (response != null) {
+            paused = false;
+            lastByteAtMs = MonotonicClock.nowMs();
+            observer.notRead(lastByteAtMs - pausedAtMs);
             response.resume();
         }
     }
@@ -357,8 +368,11 @@
         return !ended && sentAtMs >= 0;
     }
 
-    /** Time since the last byte was received, or since the call was sent; 0 before that. */
+    /**
+     * Time since the last byte was received, the call was sent, or reading was resumed; 0 before the call is sent and
+     * while this router itself does not read.
+     */
     long silentMs(long nowMs) {
-        return sentAtMs < 0 ? 0 : nowMs - lastByteAtMs;
+        return sentAtMs < 0 || paused ? 0 : nowMs - lastByteAtMs;
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -348,7 +348,10 @@
         }
         if (caller.write(events.get())) {
             a.pause();
-            caller.onDrain(a::resume);
+            caller.onDrain(() -> {
+                stream.readingResumed();
+                a.resume();
+            });
         }
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutObserver.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutObserver.java
@@ -85,6 +85,13 @@
         }
     }
 
+    @Override
+    public void notRead(long ms) {
+        if (firstReadAtMs >= 0) {
+            firstReadAtMs += ms;
+        }
+    }
+
     private void judgePace() {
         if (reads >= MIN_PACE_READS && !paceJudged) {
             paceJudged = true;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamProgress.java
@@ -40,6 +40,11 @@
         lastEventAtMs = 0;
     }
 
+    /** Ends a time in which the target's stream was not read; it is no gap of the target. */
+    void readingResumed() {
+        lastEventAtMs = 0;
+    }
+
     /** Adds bytes from the target; returns the events they complete, and updates the target's event interval. */
     Optional<Buffer> feed(Buffer bytes, TargetState target) {
         int before = splitter.events();
