Non-repeatable calls that may have run are not answered as not run

Two paths promised that a call had not run although it may have:

- A target's 408, 429 or 503 without its statement that nothing ran was forwarded as it was.
A non-repeatable call now gets 502.
- A request that the scheduler preempted while it ran was answered 503, now 502.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
@@ -2,7 +2,8 @@
 
 /**
  * Why a request was refused or stopped. {@link #notRun()} is true only when the request was not given to any engine, so
- * a caller that receives "not run" may safely send it again.
+ * a caller that receives "not run" may safely send it again. Statuses 408, 421, 429 and 503 promise the same and are not
+ * used for other reasons.
  */
 public enum RefusalReason {
     /** The body could not be parsed as a request. */
@@ -36,7 +37,7 @@
     /** The caller closed its connection before the response was complete. */
     CALLER_GONE(499, true),
     /** A running request was preempted by a higher tier; it was partly run. */
-    PREEMPTED(503, false),
+    PREEMPTED(502, false),
     /** The target failed or disconnected while the request was running; it may have been partly run. */
     TARGET_FAILED(502, false),
     /** The request was still running at its tier's deadline and was stopped; it was partly run. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -4,6 +4,7 @@
 
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.limit.QuotaState;
+import org.onyxhinge.core.place.AdvertisedLimit;
 import org.onyxhinge.core.place.WaitEstimate;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.route.WorkspaceAccess;
@@ -43,6 +44,17 @@
     int sends;
     private final StringBuilder troubles = new StringBuilder();
 
+    /** Records what a response says about the target itself. */
+    void targetNotices(ResponseHead head) {
+        targetLeaving |= head.leaving();
+        targetRetryAfterMs = Math.max(targetRetryAfterMs, head.retryAfterMs());
+        switch (head.limit()) {
+            case AdvertisedLimit.None n -> limitPerSecond = -1;
+            case AdvertisedLimit.PerSecond p -> limitPerSecond = p.perSecond();
+            case AdvertisedLimit.Unreadable u -> addTrouble("limit", "unreadable " + u.text());
+        }
+    }
+
     /** Adds a problem with a target or a limit to the log line. */
     void addTrouble(String where, String what) {
         if (troubles.length() > 0) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
-import org.onyxhinge.core.place.AdvertisedLimit;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
@@ -28,20 +27,19 @@
     private final long arrivedAtMs = MonotonicClock.nowMs();
     private final AttemptHistory history = new AttemptHistory();
     private final CallLogEntry logEntry = new CallLogEntry();
+    private final ExchangeEnd end;
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private RequestFingerprint fingerprint = RequestFingerprint.NONE;
-    private boolean quotaCharged;
-    private boolean finished;
     private Call waiting;
     private Attempt attempt;
-    private long timerId = -1;
     private final StreamProgress stream = new StreamProgress();
 
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
         this.request = request;
         this.caller = new CallerResponse(request, () -> !forwarder.ready());
+        this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
     }
 
     /** Starts an exchange for a new request. */
@@ -56,11 +54,11 @@
 
     /** Checks the request's head; holds the request if there is no configuration yet. */
     void check() {
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         if (forwarder.shutdown().refusesCalls()) {
-            refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
+            end.refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
             return;
         }
         Optional<ConfirmedConfig> config = forwarder.activeConfig();
@@ -73,8 +71,8 @@
         logEntry.requestId = result.head() == null ? "" : result.head().requestId();
         switch (result) {
             case CallCheck.Allowed a -> onAllowed(a);
-            case CallCheck.Rejected r -> fail(r.status(), r.outcome(), r.message());
-            case CallCheck.Undetermined u -> refuse(u.why(), CallerResponse.OTHER_ROUTER_RETRY_MS);
+            case CallCheck.Rejected r -> end.fail(r.status(), r.outcome(), r.message());
+            case CallCheck.Undetermined u -> end.refuse(u.why(), CallerResponse.OTHER_ROUTER_RETRY_MS);
         }
     }
 
@@ -83,27 +81,27 @@
                 .deadlines()
                 .waitedBeforeMs(check.route().name(), check.head().deadlineMs(), MonotonicClock.nowMs());
         plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
-        timerId = forwarder.vertx().setTimer(Math.max(1, plan.remainingMs()), t -> deadlineExpired());
+        end.timer(plan.remainingMs(), this::deadlineExpired);
         forwarder.startScheduler().offer(this, plan);
     }
 
     /** Refuses the request because the router lacks processor time for it. */
     void refuseOverloaded(long waitMs) {
-        if (!finished) {
-            refuse("starved", Math.max(CallerResponse.OTHER_ROUTER_RETRY_MS, waitMs));
+        if (!end.finished()) {
+            end.refuse("starved", Math.max(CallerResponse.OTHER_ROUTER_RETRY_MS, waitMs));
         }
     }
 
     /** Starts processing an accepted request. */
     void begin() {
-        if (!finished) {
+        if (!end.finished()) {
             readBody();
         }
     }
 
     /** Refuses the request because the first configuration did not arrive in time. */
     void refuseWithoutConfig() {
-        refuse("no_config", CallerResponse.OTHER_ROUTER_RETRY_MS);
+        end.refuse("no_config", CallerResponse.OTHER_ROUTER_RETRY_MS);
     }
 
     private void readBody() {
@@ -113,14 +111,14 @@
                 maxBytes,
                 received -> {
                     body = received;
-                    if (!finished) {
+                    if (!end.finished()) {
                         fingerprint = plan.fingerprint(request, received);
                         plan = forwarder.retryRecognition().recognize(plan, fingerprint);
                         logEntry.fingerprint = fingerprint;
                         admit();
                     }
                 },
-                () -> fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
+                () -> end.fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
     }
 
     private void admit() {
@@ -131,11 +129,10 @@
         long nowMs = MonotonicClock.nowMs();
         Optional<WorkspaceQuotas.Exceeded> exceeded = forwarder.quotas().take(plan, nowMs);
         if (exceeded.isPresent()) {
-            logEntry.quotaExceeded(exceeded.get());
-            sendRefusal(429, "quota", exceeded.get().waitMs());
+            end.refuseOverQuota(exceeded.get());
             return;
         }
-        quotaCharged = true;
+        end.quotaCharged();
         forwarder.retries().countRequest(plan.service(), nowMs);
         stream.resumeAfter(plan.head().lastEventId());
         submit();
@@ -181,13 +178,13 @@
                 waiting = null;
                 forwarder.dequeue(r.call());
                 r.estimate().ifPresent(logEntry::queueWait);
-                endWithoutTarget(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
+                end.withoutTarget(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
             }
         }
     }
 
     private void refuseQuarantined() {
-        endWithoutTarget("quarantined", forwarder.crashQuarantine().endsInMs(fingerprint));
+        end.withoutTarget("quarantined", forwarder.crashQuarantine().endsInMs(fingerprint));
     }
 
     /**
@@ -195,7 +192,7 @@
      * it.
      */
     void quarantined() {
-        if (finished || caller.headSent()) {
+        if (end.finished() || caller.headSent()) {
             return;
         }
         if (attempt != null && attempt.isRunning()) {
@@ -205,23 +202,11 @@
         refuseQuarantined();
     }
 
-    /** Ends a call for which no target is available. The response states whether the call may have been executed. */
-    private void endWithoutTarget(String why, long retryAfterMs) {
-        if (caller.headSent()) {
-            abortResponse(why);
-        } else if (history.fallback() != null) {
-            FallbackResponse fallback = history.fallback();
-            forwardResponse(fallback.head(), fallback.response(), fallback.body());
-        } else if (history.mayHaveExecuted()) {
-            fail(502, why, "the target broke off and no other takes the call");
-        } else {
-            refuse(why, retryAfterMs);
-        }
-    }
-
     @Override
     public boolean prepare(RequestOptions options, TargetState target) {
-        if (finished || plan.remainingMs() <= 0 || forwarder.crashQuarantine().isQuarantined(fingerprint)) {
+        if (end.finished()
+                || plan.remainingMs() <= 0
+                || forwarder.crashQuarantine().isQuarantined(fingerprint)) {
             return false;
         }
         history.recordSend();
@@ -261,27 +246,21 @@
 
     @Override
     public void targetNotices(ResponseHead head) {
-        logEntry.targetLeaving |= head.leaving();
-        logEntry.targetRetryAfterMs = Math.max(logEntry.targetRetryAfterMs, head.retryAfterMs());
-        switch (head.limit()) {
-            case AdvertisedLimit.None n -> logEntry.limitPerSecond = -1;
-            case AdvertisedLimit.PerSecond p -> logEntry.limitPerSecond = p.perSecond();
-            case AdvertisedLimit.Unreadable u -> logEntry.addTrouble("limit", "unreadable " + u.text());
-        }
+        logEntry.targetNotices(head);
     }
 
     @Override
     public void notSent(Attempt a, String why) {
         forwarder.metrics().event("sends.unsent");
         logEntry.addTrouble(a.target().info().id(), why);
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         history.exclude(a.target());
         if (plan.hasTimeForRetry()) {
             submit();
         } else {
-            endWithoutTarget("no_time", 0);
+            end.withoutTarget("no_time", 0);
         }
     }
 
@@ -289,20 +268,20 @@
     public void notRun(Attempt a, ResponseHead head, HttpClientResponse response) {
         logEntry.addTrouble(a.target().info().id(), "not run, status " + head.status());
         forwarder.metrics().event("sends.shed");
-        if (!finished) {
+        if (!end.finished()) {
             history.exclude(a.target());
             if (history.consumeRetry(plan, forwarder)) {
                 submit();
             } else {
                 long refusedForMs = forwarder.placement().refusedForMs(plan.service(), MonotonicClock.nowMs());
-                endWithoutTarget("target_full", Math.max(Forwarder.SHED_RETRY_MS, refusedForMs));
+                end.withoutTarget("target_full", Math.max(Forwarder.SHED_RETRY_MS, refusedForMs));
             }
         }
     }
 
     @Override
     public void answered(Attempt a, ResponseHead head, HttpClientResponse response, Buffer responseBody) {
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         history.markExecuted();
@@ -316,18 +295,12 @@
                 return;
             }
         }
-        forwardResponse(head, response, responseBody);
-    }
-
-    private void forwardResponse(ResponseHead head, HttpClientResponse response, Buffer responseBody) {
-        logEntry.firstByteMs = MonotonicClock.nowMs() - arrivedAtMs;
-        caller.sendResponse(head.status(), response, responseBody);
-        end(head.success() ? "answered" : "target_error", "status " + head.status());
+        end.forward(head, response, responseBody);
     }
 
     @Override
     public boolean streamBegins(Attempt a, ResponseHead head, HttpClientResponse response) {
-        if (plan.route().kind() != CallKind.STREAM || finished) {
+        if (plan.route().kind() != CallKind.STREAM || end.finished()) {
             return false;
         }
         stream.streamStarted();
@@ -357,7 +330,7 @@
 
     @Override
     public void streamEnded(Attempt a) {
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         history.markExecuted();
@@ -369,14 +342,13 @@
         forwarder
                 .lengths()
                 .ended(plan.route().name(), stream.events(), plan.head().expectedOutputTokens());
-        caller.endStream();
-        end("answered", "events " + stream.events());
+        end.streamEnded(stream.events());
     }
 
     @Override
     public void connectionBroke(Attempt a, String why) {
         recordBrokenAttempt(a, why);
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         boolean retryAllowed =
@@ -384,7 +356,7 @@
         if (retryAllowed && history.consumeRetry(plan, forwarder)) {
             submit();
         } else {
-            endWithoutTarget("target_broke", 0);
+            end.withoutTarget("target_broke", 0);
         }
     }
 
@@ -393,7 +365,7 @@
     public void silent(Attempt a, String why) {
         Set<String> excluded = new HashSet<>(history.excluded());
         excluded.add(a.target().incarnation());
-        boolean canMove = !finished
+        boolean canMove = !end.finished()
                 && forwarder.placement().canSendNow(call(excluded), MonotonicClock.nowMs())
                 && history.consumeRetry(plan, forwarder);
         if (canMove) {
@@ -410,6 +382,16 @@
         }
     }
 
+    /** The call's plan; null until its head has been accepted. */
+    CallPlan plan() {
+        return plan;
+    }
+
+    /** The longest time between two events of a target's stream. */
+    long longestGapMs() {
+        return stream.longestGapMs();
+    }
+
     /** The target that may be executing the call. */
     Optional<TargetState> runningOn() {
         return Optional.ofNullable(attempt).filter(Attempt::isRunning).map(Attempt::target);
@@ -433,27 +415,21 @@
 
     /** Ends a call that has no time left. The response states whether the call may have been executed. */
     private void abort(int status, String why, String message, long retryAfterMs) {
-        if (finished) {
+        if (end.finished()) {
             return;
         }
         if (attempt != null) {
             attempt.expire();
         }
         cancelWork();
-        if (caller.headSent()) {
-            abortResponse(why);
-        } else if (history.sendCount() > 0) {
-            fail(status, why, message);
-        } else {
-            refuse(why, retryAfterMs);
-        }
+        end.abort(status, why, message, retryAfterMs);
     }
 
     /** Stops all work for a caller that has disconnected. */
     private void callerDisconnected() {
-        if (!finished) {
+        if (!end.finished()) {
             cancelWork();
-            end("caller_left", "");
+            end.callerLeft();
         }
     }
 
@@ -467,52 +443,4 @@
             attempt.cancel();
         }
     }
-
-    /** Refuses a call that was not executed. */
-    private void refuse(String why, long retryAfterMs) {
-        sendRefusal(503, why, retryAfterMs);
-    }
-
-    private void sendRefusal(int status, String why, long retryAfterMs) {
-        forwarder.metrics().event("refused." + why);
-        forwarder.deadlines().refused(MonotonicClock.nowMs());
-        if (plan != null) {
-            forwarder.retryRecognition().refused(plan, fingerprint, retryAfterMs);
-        }
-        caller.refuse(status, why, retryAfterMs);
-        end("refused", why);
-    }
-
-    private void fail(int status, String outcome, String message) {
-        if (!finished) {
-            caller.fail(status, message);
-            end("failed", outcome);
-        }
-    }
-
-    /** Truncates a response that cannot be completed, so that it does not look complete. */
-    private void abortResponse(String why) {
-        caller.abortResponse();
-        end("cut_off", why);
-    }
-
-    private void end(String outcome, String why) {
-        if (finished) {
-            return;
-        }
-        finished = true;
-        if (!request.isEnded()) {
-            // Discard the rest of the body, so that the connection can be reused.
-            request.handler(b -> {}).resume();
-        }
-        if (timerId >= 0) {
-            forwarder.vertx().cancelTimer(timerId);
-        }
-        if (history.sendCount() == 0 && quotaCharged) {
-            forwarder.quotas().giveBack(plan, MonotonicClock.nowMs());
-        }
-        forwarder.exchangeEnded(this, request.connection());
-        logEntry.longestGapMs = stream.longestGapMs();
-        logEntry.write(forwarder, plan, MonotonicClock.nowMs() - arrivedAtMs, outcome, why);
-    }
 }
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -0,0 +1,171 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Set;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
+import org.onyxhinge.wire.MonotonicClock;
+
+/**
+ * The ways in which an exchange can end. Each writes the caller's only final response, the log line and the metrics. A
+ * call that has run or may still run is never refused; see {@code docs/design/refusals.md}.
+ */
+final class ExchangeEnd {
+
+    /** Statuses by which a caller learns that its call has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
+    private static final int BAD_GATEWAY = 502;
+
+    private final Forwarder forwarder;
+    private final Exchange exchange;
+    private final HttpServerRequest request;
+    private final CallerResponse caller;
+    private final AttemptHistory history;
+    private final CallLogEntry logEntry;
+    private final long arrivedAtMs;
+    private boolean quotaCharged;
+    private long timerId = -1;
+    private boolean finished;
+
+    ExchangeEnd(
+            Forwarder forwarder,
+            Exchange exchange,
+            HttpServerRequest request,
+            CallerResponse caller,
+            AttemptHistory history,
+            CallLogEntry logEntry,
+            long arrivedAtMs) {
+        this.forwarder = forwarder;
+        this.exchange = exchange;
+        this.request = request;
+        this.caller = caller;
+        this.history = history;
+        this.logEntry = logEntry;
+        this.arrivedAtMs = arrivedAtMs;
+    }
+
+    /** True once the exchange has ended. */
+    boolean finished() {
+        return finished;
+    }
+
+    /** Records that the call was charged to its workspace's quota; a call that is not sent is given back. */
+    void quotaCharged() {
+        quotaCharged = true;
+    }
+
+    /** Runs an action after a time unless the exchange has ended by then. */
+    void timer(long delayMs, Runnable action) {
+        timerId = forwarder.vertx().setTimer(Math.max(1, delayMs), t -> action.run());
+    }
+
+    /** Refuses a call that was not executed. */
+    void refuse(String why, long retryAfterMs) {
+        sendRefusal(503, why, retryAfterMs);
+    }
+
+    /** Refuses a call that exceeds its workspace's quota. */
+    void refuseOverQuota(WorkspaceQuotas.Exceeded exceeded) {
+        logEntry.quotaExceeded(exceeded);
+        sendRefusal(429, "quota", exceeded.waitMs());
+    }
+
+    private void sendRefusal(int status, String why, long retryAfterMs) {
+        forwarder.metrics().event("refused." + why);
+        forwarder.deadlines().refused(MonotonicClock.nowMs());
+        if (exchange.plan() != null) {
+            forwarder.retryRecognition().refused(exchange.plan(), exchange.fingerprint(), retryAfterMs);
+        }
+        caller.refuse(status, why, retryAfterMs);
+        end("refused", why);
+    }
+
+    /** Ends a call with an error that does not promise that it was not executed. */
+    void fail(int status, String outcome, String message) {
+        if (!finished) {
+            caller.fail(status, message);
+            end("failed", outcome);
+        }
+    }
+
+    /** Truncates a response that cannot be completed, so that it does not look complete. */
+    void cutOff(String why) {
+        caller.abortResponse();
+        end("cut_off", why);
+    }
+
+    /** Ends a call that is out of time. The response states whether the call may have been executed. */
+    void abort(int status, String why, String message, long retryAfterMs) {
+        if (caller.headSent()) {
+            cutOff(why);
+        } else if (history.sendCount() > 0) {
+            fail(status, why, message);
+        } else {
+            refuse(why, retryAfterMs);
+        }
+    }
+
+    /** Ends a call for which no target is available. The response states whether the call may have been executed. */
+    void withoutTarget(String why, long retryAfterMs) {
+        if (caller.headSent()) {
+            cutOff(why);
+        } else if (history.fallback() != null) {
+            FallbackResponse fallback = history.fallback();
+            forward(fallback.head(), fallback.response(), fallback.body());
+        } else if (history.mayHaveExecuted()) {
+            fail(BAD_GATEWAY, why, "the target broke off and no other takes the call");
+        } else {
+            refuse(why, retryAfterMs);
+        }
+    }
+
+    /**
+     * Forwards a target's complete response. A target that answers a non-repeatable call with one of the statuses for
+     * calls that were not run, but does not state that, may have run it.
+     */
+    void forward(ResponseHead head, HttpClientResponse response, Buffer body) {
+        logEntry.firstByteMs = MonotonicClock.nowMs() - arrivedAtMs;
+        if (!exchange.repeatable() && NOT_RUN_STATUSES.contains(head.status())) {
+            String answered = "status " + head.status();
+            logEntry.addTrouble(logEntry.target, answered + " without a statement that the call was not run");
+            caller.fail(BAD_GATEWAY, "the target answered with " + answered + " and may have run the call");
+            end("target_error", answered);
+            return;
+        }
+        caller.sendResponse(head.status(), response, body);
+        end(head.success() ? "answered" : "target_error", "status " + head.status());
+    }
+
+    /** Ends a stream that the target has completed. */
+    void streamEnded(int events) {
+        caller.endStream();
+        end("answered", "events " + events);
+    }
+
+    /** Ends an exchange whose caller has disconnected. */
+    void callerLeft() {
+        end("caller_left", "");
+    }
+
+    private void end(String outcome, String why) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        if (!request.isEnded()) {
+            // Discard the rest of the body, so that the connection can be reused.
+            request.handler(b -> {}).resume();
+        }
+        if (timerId >= 0) {
+            forwarder.vertx().cancelTimer(timerId);
+        }
+        if (history.sendCount() == 0 && quotaCharged) {
+            forwarder.quotas().giveBack(exchange.plan(), MonotonicClock.nowMs());
+        }
+        forwarder.exchangeEnded(exchange, request.connection());
+        logEntry.longestGapMs = exchange.longestGapMs();
+        logEntry.write(forwarder, exchange.plan(), MonotonicClock.nowMs() - arrivedAtMs, outcome, why);
+    }
+}
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
@@ -28,6 +28,7 @@
 import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
 import org.onyxhinge.router.RouterMetrics;
+import org.onyxhinge.router.forward.Conditions;
 import org.onyxhinge.router.http.CallerRequest;
 import org.onyxhinge.runtime.Launch;
 
@@ -151,6 +152,20 @@
         }
     }
 
+    @Nested
+    class TargetError {
+
+        /** Guards against a 503 of the target, which may have run the request, that reaches the caller as a refusal. */
+        @Test
+        void errorOfTheTargetIs502() throws Exception {
+            InFlightRequest f = newRequest("k-busy");
+            onTrafficContext(() -> dispatcher.dispatch(f, engine));
+            awaitRequest(targetRequests).response().setStatusCode(503).end();
+            Conditions.await(() -> f.httpRequest.response().ended(), WAIT_MS);
+            assertThat(f.httpRequest.response().getStatusCode(), is(502));
+        }
+    }
+
     private InFlightRequest newRequest(String key) throws InterruptedException {
         client.request(HttpMethod.POST, callerServer.actualPort(), "127.0.0.1", "/")
                 .compose(req -> req.send());
--- /dev/null
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/MovedCallTest.java
@@ -0,0 +1,102 @@
+package org.onyxhinge.router.forward;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.onyxhinge.core.place.TargetRole;
+import org.onyxhinge.router.forward.file.ForwardingSetup;
+import org.onyxhinge.router.forward.file.OnyxCallProtocol;
+import org.onyxhinge.router.forward.file.SingleTargetConfig;
+import org.onyxhinge.runtime.Launch;
+import org.onyxhinge.runtime.Ports;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/** Calls that run on targets whose version a rollout replaces. */
+class MovedCallTest {
+
+    private static final long TIMEOUT_MS = 20_000;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = vertx.createHttpClient();
+    private final int port = Ports.free();
+    private final List<HttpServerRequest> calls = new CopyOnWriteArrayList<>();
+
+    private int target() {
+        return await(vertx.createHttpServer().requestHandler(calls::add).listen(0, "127.0.0.1"))
+                .actualPort();
+    }
+
+    private Forwarder start(String kind) {
+        String other = "[target m2]\nservice = mailroom\naddress = 127.0.0.1:" + target();
+        String text = SingleTargetConfig.text(port, target(), "", other)
+                .replace("services = mailroom", "services = mailroom\nmax_attempts = 2\nkind = " + kind);
+        ForwardingSetup setup = SingleTargetConfig.read(text);
+        ConfigFreshness freshness = ConfigFreshness.within(TIMEOUT_MS);
+        Forwarder f = await(
+                Forwarder.start(vertx, setup.settings(), new OnyxCallProtocol(), freshness, new MetricRegistry()));
+        setup.targets().forEach(f.targets()::targetRegistered);
+        f.configure(setup.config());
+        f.confirmed(freshness.stampMs());
+        return f;
+    }
+
+    private Future<Integer> send() {
+        return client.request(new RequestOptions()
+                        .setHost("127.0.0.1")
+                        .setPort(port)
+                        .setMethod(HttpMethod.POST)
+                        .setURI("/print/1")
+                        .putHeader("Host", "letters.example")
+                        .putHeader("X-Onyx-Key", "k1"))
+                .compose(r -> r.send("envelope"))
+                .map(r -> r.statusCode());
+    }
+
+    /** Sends a call and moves calls off all targets while it runs. */
+    private Future<Integer> sendAndMove(String kind) {
+        Forwarder f = start(kind);
+        Future<Integer> status = send();
+        Conditions.await(() -> calls.size() == 1, TIMEOUT_MS);
+        await(f.dump().onSuccess(d -> f.calls().moveOff("mailroom", TargetRole.SERVING)));
+        return status;
+    }
+
+    private static <T> T await(Future<T> f) {
+        return Launch.await(f, TIMEOUT_MS);
+    }
+
+    @AfterEach
+    void close() {
+        await(vertx.close());
+    }
+
+    /** Guards against a non-repeatable call that is run twice, or answered as not run, because of a rollout. */
+    @Test
+    void nonRepeatableCallStaysAndIsAnswered() {
+        Future<Integer> status = sendAndMove("non_idempotent");
+        calls.getFirst().response().end("printed");
+        assertThat(await(status), is(200));
+        assertThat(calls, hasSize(1));
+    }
+
+    /** Guards against calls that keep a replaced version in use although they may be repeated. */
+    @Test
+    void idempotentCallIsRunByAnotherTarget() {
+        Future<Integer> status = sendAndMove("idempotent");
+        Conditions.await(() -> calls.size() == 2, TIMEOUT_MS);
+        calls.getLast().response().end("printed");
+        assertThat(await(status), is(200));
+    }
+}
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SingleTargetConfig.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/SingleTargetConfig.java
@@ -4,7 +4,7 @@
 import org.onyxhinge.runtime.Settings;
 
 /** Configuration file of a router with one route, {@code /print/} of {@code letters.example}, and one target. */
-final class SingleTargetConfig {
+public final class SingleTargetConfig {
 
     private SingleTargetConfig() {}
 
@@ -16,7 +16,7 @@
      * @param limits lines of the section {@code [limits]}
      * @param workspace additional lines of the workspace {@code agency}, whose key is {@code k1}
      */
-    static String text(int port, int targetPort, String limits, String workspace) {
+    public static String text(int port, int targetPort, String limits, String workspace) {
         return String.join(
                 "\n",
                 "[router]",
@@ -41,7 +41,8 @@
                 "");
     }
 
-    static ForwardingSetup read(String text) {
+    /** Reads the text of a file. */
+    public static ForwardingSetup read(String text) {
         return Settings.fromText("site.ini", text)
                 .flatMap(s -> ForwardingFile.read(s, 1))
                 .get();
