Outlier penalty goes to the targets that fail most often

Cause: at most a third of a service's targets are penalized for failing too often, and the penalty went to the first outliers in the list. With more outliers than that, the worst target could stay without penalty and get the calls. Change: available outliers are collected apart and the worst of them, by failure rate, are penalized. A choice without outliers, nearly every one, costs nothing more. Test: PlacementTest.penalizesWorstOfSeveralFailingTargets; before the change it failed ("Expected: is not "worst", but: was "worst"").

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -209,7 +209,8 @@
         TargetState best = null;
         double bestCost = Double.MAX_VALUE;
         double meanFailures = meanFailureRate();
-        int penaltiesLeft = (int) (ownTargets.size() * MAX_PENALIZED_FRACTION);
+        // Null while there are none, which is nearly always the case: this method runs for every call.
+        List<Outlier> outliers = null;
         boolean anySuits = settings.uses(Mechanism.SUITABLE_TARGETS) && anySuits(call, nowMs);
         for (TargetState t : usableTargets(nowMs)) {
             if (!t.isAvailable(nowMs)
@@ -219,15 +220,35 @@
                 continue;
             }
             double cost = t.limit().filter(l -> l.needsProbe(nowMs)).isPresent() ? 0 : cost(call, t);
-            if (isOutlier(t, meanFailures) && penaltiesLeft-- > 0) {
-                cost += OUTLIER_PENALTY_MS;
-            }
-            if (cost < bestCost) {
+            if (isOutlier(t, meanFailures)) {
+                outliers = outliers == null ? new ArrayList<>() : outliers;
+                outliers.add(new Outlier(t, cost));
+            } else if (cost < bestCost) {
                 best = t;
                 bestCost = cost;
             }
         }
-        return Optional.ofNullable(best);
+        return outliers == null ? Optional.ofNullable(best) : Optional.of(bestOf(best, bestCost, outliers));
+    }
+
+    /** An available target that fails too often, with the cost of a call there before the penalty. */
+    private record Outlier(TargetState target, double costMs) {}
+
+    /** Returns the better of the best other target, null for none, and the outliers, the worst of them penalized. */
+    private TargetState bestOf(TargetState other, double otherCostMs, List<Outlier> outliers) {
+        outliers.sort(Comparator.comparingDouble((Outlier o) -> o.target().failureRate())
+                .reversed());
+        int penaltiesLeft = (int) (ownTargets.size() * MAX_PENALIZED_FRACTION);
+        TargetState best = other;
+        double bestCost = otherCostMs;
+        for (Outlier o : outliers) {
+            double cost = o.costMs() + (penaltiesLeft-- > 0 ? OUTLIER_PENALTY_MS : 0);
+            if (best == null || cost < bestCost) {
+                best = o.target();
+                bestCost = cost;
+            }
+        }
+        return best;
     }
 
     /**
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PlacementTest.java
@@ -123,6 +123,26 @@
             assertThat(fill(1).getFirst().target(), is(not(first)));
         }
 
+        /** Guards against a penalty for the first failing targets in the list that leaves none for the worst one. */
+        @Test
+        void penalizesWorstOfSeveralFailingTargets() {
+            for (String id : List.of("a", "b", "c", "d", "worst")) {
+                placement.targetSeen(target(id, "here", true));
+            }
+            failing("a", 12);
+            failing("worst", 20);
+            // Expected to respond first of all, so that only the penalty keeps calls away from it.
+            placement.target("worst").orElseThrow().recordGap(1);
+            placement.target("b").orElseThrow().recordGap(100);
+            assertThat(fill(1).getFirst().target().info().id(), is(not("worst")));
+        }
+
+        private void failing(String id, int failures) {
+            for (int i = 0; i < failures; i++) {
+                placement.answered(placement.target(id).orElseThrow(), false, 0);
+            }
+        }
+
         @Test
         void doesNotTryATargetTwice() {
             placement.targetSeen(target("a", "here", true));
