Fair shares of a contended service's slots between workspaces

Cause: in an overload a workspace with several times its usual load displaces the calls of all others; calls of one rank were served in order of arrival whoever sent them. Change: opt-in WORKSPACE_SHARES. WorkspaceShares keeps the target time that each workspace used within the last seconds, by rank, at this router and at its peers. On-time calls of workspaces above the max-min level come after the others of their rank, in the queues and in the precedence that routers compare. PeerMessage.Usage carries the use in a field that is sent only if there is some; its codec is now UsageCodec. State dump: workspaceUseMs; metric: refused.above_share. Tests: DecoderProperties and RouterPeersTest pass the new field; a message without it has the bytes of the previous version.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -10,6 +10,7 @@
 public final class Call {
 
     private final String service;
+    private final String workspace;
     private final int rank;
     private final boolean isRetry;
     private final long firstByteDeadlineMs;
@@ -22,6 +23,7 @@
 
     private Call(Builder b) {
         this.service = b.service;
+        this.workspace = b.workspace;
         this.rank = b.rank;
         this.isRetry = b.isRetry;
         this.firstByteDeadlineMs = b.firstByteDeadlineMs;
@@ -43,6 +45,11 @@
         return service;
     }
 
+    /** Name of the caller's workspace; empty if it has none. */
+    public String workspace() {
+        return workspace;
+    }
+
     /** The rank; 0 is the most urgent. */
     public int rank() {
         return rank;
@@ -93,6 +100,7 @@
 
         private final String service;
         private final Set<String> avoid = new HashSet<>();
+        private String workspace = "";
         private int rank;
         private boolean isRetry;
         private long firstByteDeadlineMs;
@@ -108,6 +116,12 @@
             this.queueDeadlineMs = arrivedAtMs;
         }
 
+        /** Sets the name of the caller's workspace. */
+        public Builder workspace(String name) {
+            workspace = name;
+            return this;
+        }
+
         /** Sets the rank and whether this is a retry. */
         public Builder rank(int value, boolean retry) {
             rank = value;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PeerUpdates.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/PeerUpdates.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 
+import org.onyxhinge.core.share.WorkspaceShares;
+
 /** State that a router reports to its peers at one point in time; all routers of a group receive the same. */
 public final class PeerUpdates {
 
@@ -47,7 +49,7 @@
                 }
             }
         }
-        return new PeerUpdate(sameGroup, uses, waiting(sameGroup), rates(sameGroup), borrowed);
+        return new PeerUpdate(sameGroup, uses, waiting(sameGroup), rates(sameGroup), workspaceUse(sameGroup), borrowed);
     }
 
     private Map<String, Map<Integer, Integer>> waiting(boolean sameGroup) {
@@ -66,6 +68,17 @@
         return out;
     }
 
+    private Map<String, List<WorkspaceShares.Use>> workspaceUse(boolean sameGroup) {
+        Map<String, List<WorkspaceShares.Use>> out = new HashMap<>();
+        forEachSharedService(
+                sameGroup,
+                (service, demand) -> demand.workspaceShares()
+                        .map(s -> s.ownUse(nowMs))
+                        .filter(uses -> !uses.isEmpty())
+                        .ifPresent(uses -> out.put(service.name(), uses)));
+        return out;
+    }
+
     /** Visits the services whose targets are shared with routers of the own group, or else with all routers. */
     private void forEachSharedService(boolean sameGroup, BiConsumer<ServiceTargets, ServiceDemand> each) {
         demands.forEach((name, demand) -> {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 
+import org.onyxhinge.core.share.WorkspaceShares;
+
 /**
  * Decides for one router which target a call is sent to, which calls are queued and which are refused. Targets run a
  * bounded number of requests at once and do not know ranks, so the router never exceeds that bound and keeps a queue
@@ -120,6 +122,7 @@
         peerUses(peer, Map.of());
         peerWaiting(peer, Map.of());
         peerRates(peer, Map.of());
+        demands.values().forEach(d -> d.workspaceShares().ifPresent(s -> s.peerGone(peer)));
         fleet.markSilent(peer);
     }
 
@@ -141,6 +144,13 @@
         demands.forEach((service, demand) -> demand.peerRates(peer, ratesByService.get(service)));
     }
 
+    /** Replaces the target time used by the workspaces' calls at a peer, by service; ignored if it is not shared. */
+    public void peerWorkspaceUse(String peer, Map<String, List<WorkspaceShares.Use>> usesByService, long nowMs) {
+        usesByService.keySet().forEach(this::demand);
+        demands.forEach((service, demand) ->
+                demand.peerWorkspaceUse(peer, usesByService.getOrDefault(service, List.of()), nowMs));
+    }
+
     /** Records that a peer has reserved a slot on a target for this router. */
     public void slotReserved(String incarnation, long nowMs) {
         target(incarnation).ifPresent(t -> {
@@ -439,15 +449,27 @@
         return out;
     }
 
+    /** Whether a call is of a workspace above its share of the service's slots. */
+    public boolean isAboveShare(Call call) {
+        return demand(call.service()).isAboveShare(call);
+    }
+
+    /** Target time used recently by the workspaces' calls at all routers, by service, for diagnostic dumps. */
+    public Map<String, List<WorkspaceShares.Use>> workspaceUse(long nowMs) {
+        Map<String, List<WorkspaceShares.Use>> out = new TreeMap<>();
+        demands.forEach((name, demand) -> demand.workspaceShares().ifPresent(s -> out.put(name, s.totalUse(nowMs))));
+        return out;
+    }
+
     private Verdict.Send send(Call call, TargetState target, long nowMs) {
         ServiceDemand demand = demand(call.service());
+        double expectedMs = target.lastByteMs(call);
         slots.taken(target.service(), demand, call, target, nowMs);
-        demand.sent(call, nowMs);
+        demand.sent(call, expectedMs, nowMs);
         return new Verdict.Send(call, target);
     }
 
     private ServiceDemand demand(String service) {
-        return demands.computeIfAbsent(
-                service, s -> new ServiceDemand(QueueOrder.of(settings), settings.uses(Mechanism.LEAST_SHARE)));
+        return demands.computeIfAbsent(service, s -> new ServiceDemand(settings));
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
@@ -21,8 +21,16 @@
         return settings.uses(Mechanism.ON_TIME_FIRST) ? ON_TIME_FIRST : RANK_FIRST;
     }
 
-    /** Returns the precedence of a call that is queued with a rank. */
-    int precedence(int rank, boolean canBeOnTime) {
+    /**
+     * Returns the precedence of a call that is queued with a rank.
+     *
+     * @param aboveShare whether the call is of a workspace above its share; among the calls that can be on time it
+     *     comes after those of the other workspaces and before the next rank
+     */
+    int precedence(int rank, boolean canBeOnTime, boolean aboveShare) {
+        if (canBeOnTime && aboveShare) {
+            return Precedence.of(rank, false);
+        }
         return switch (this) {
             case RANK_FIRST -> Precedence.of(rank, canBeOnTime);
             case ON_TIME_FIRST -> Precedence.of(rank, canBeOnTime) + (canBeOnTime ? 0 : LATE);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -3,12 +3,15 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 
+import org.onyxhinge.core.share.WorkspaceShares;
+
 /** Demand for one service: calls queued here and at the peers, arrival rates, and the rate at which slots are freed. */
 final class ServiceDemand {
 
@@ -30,7 +33,7 @@
     private final WaitingCalls waiting;
     private final Rate freed = new Rate();
     private final Map<Integer, Rate> arrivalRates = new TreeMap<>();
-    private final Map<Call, Long> sentAtMs = new IdentityHashMap<>();
+    private final Map<Call, Sending> running = new IdentityHashMap<>();
     /** Moving average of the time a call holds its slot. */
     private double holdTimeMs = INITIAL_HOLD_TIME_MS;
 
@@ -41,6 +44,10 @@
 
     private final RankShares shares = new RankShares();
     private final boolean minimumShare;
+    private final Optional<WorkspaceShares> workspaceShares;
+
+    /** When a call was sent, and how long it was expected to hold its slot. */
+    private record Sending(long atMs, double expectedMs) {}
 
     /** A slot request from a router of another group, and when it expires. */
     private record BorrowRequest(PeerDemand demand, long untilMs) {}
@@ -51,13 +58,30 @@
     /**
      * Creates the demand of a service without calls.
      *
-     * @param order order of the queued calls
-     * @param minimumShare whether calls of a rank with too small a share of the slots are promoted
+     * @param settings determine the order of the queued calls, and whether calls of a rank with too small a share of
+     *     the slots are promoted
      */
-    ServiceDemand(QueueOrder order, boolean minimumShare) {
-        this.order = order;
-        this.waiting = new WaitingCalls(order);
-        this.minimumShare = minimumShare;
+    ServiceDemand(PlacementSettings settings) {
+        this.order = QueueOrder.of(settings);
+        this.waiting = new WaitingCalls(order, this::isAboveShare);
+        this.minimumShare = settings.uses(Mechanism.LEAST_SHARE);
+        this.workspaceShares =
+                settings.uses(Mechanism.WORKSPACE_SHARES) ? Optional.of(new WorkspaceShares()) : Optional.empty();
+    }
+
+    /** The shares of the workspaces, if the slots are shared between them. */
+    Optional<WorkspaceShares> workspaceShares() {
+        return workspaceShares;
+    }
+
+    /** Whether a call is of a workspace above its share; its calls yield to those of the other workspaces. */
+    boolean isAboveShare(Call call) {
+        return workspaceShares.isPresent() && workspaceShares.get().isAboveShare(call.rank(), call.workspace());
+    }
+
+    /** Replaces the target time used by the calls of a peer. */
+    void peerWorkspaceUse(String peer, List<WorkspaceShares.Use> uses, long nowMs) {
+        workspaceShares.ifPresent(s -> s.peerUsed(peer, uses, nowMs));
     }
 
     /** Calls queued at this router. */
@@ -67,13 +91,13 @@
 
     /** The precedence of a call that is queued with a rank. */
     int precedence(Call call, int rank, ServiceTargets targets, long nowMs) {
-        return order.precedence(rank, targets.canBeOnTime(call, nowMs));
+        return order.precedence(rank, targets.canBeOnTime(call, nowMs), isAboveShare(call));
     }
 
     /** Whether any call queued here precedes a new call with a rank. */
     boolean anyAhead(Call call, int rank, ServiceTargets targets, long nowMs) {
         return switch (order) {
-            case RANK_FIRST -> waiting.ahead(Precedence.of(rank, true), c -> true) > 0;
+            case RANK_FIRST -> waiting.ahead(order.precedence(rank, true, isAboveShare(call)), c -> true) > 0;
             case ON_TIME_FIRST ->
                 waiting.ahead(precedence(call, rank, targets, nowMs), c -> targets.canBeOnTime(c, nowMs)) > 0;
         };
@@ -85,9 +109,15 @@
         return minimumShare ? shares.effectiveRank(call, nowMs) : call.rank();
     }
 
-    void sent(Call call, long nowMs) {
+    /**
+     * Records that a call is sent.
+     *
+     * @param expectedMs how long it is expected to hold its slot
+     */
+    void sent(Call call, double expectedMs, long nowMs) {
         shares.sent(call, nowMs);
-        sentAtMs.put(call, nowMs);
+        running.put(call, new Sending(nowMs, expectedMs));
+        workspaceShares.ifPresent(s -> s.used(call.rank(), call.workspace(), expectedMs, nowMs));
     }
 
     void refused(Call call, long nowMs) {
@@ -97,9 +127,11 @@
     /** Records that a call of this router has ended. */
     void ended(Call call, long nowMs) {
         freed.event(nowMs);
-        Long startedAtMs = sentAtMs.remove(call);
-        if (startedAtMs != null) {
-            holdTimeMs += HOLD_TIME_SMOOTHING * (nowMs - startedAtMs - holdTimeMs);
+        Sending sending = running.remove(call);
+        if (sending != null) {
+            long tookMs = nowMs - sending.atMs();
+            holdTimeMs += HOLD_TIME_SMOOTHING * (tookMs - holdTimeMs);
+            workspaceShares.ifPresent(s -> s.used(call.rank(), call.workspace(), tookMs - sending.expectedMs(), nowMs));
         }
     }
 
@@ -189,21 +221,18 @@
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
      * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
      * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
-     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late by
-     * the end of its wait also waits for all arrivals.
+     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late
+     * by the end of its wait also waits for all arrivals.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
      */
     WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
-        if (order == QueueOrder.RANK_FIRST) {
-            return expectedWait(Precedence.of(rank, true), rank, targets, routers, nowMs);
-        }
-        int onTime = order.precedence(rank, true);
+        int onTime = order.precedence(rank, true, isAboveShare(call));
         WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
-        return targets.canBeOnTime(call, nowMs + estimate.waitMs())
+        return order == QueueOrder.RANK_FIRST || targets.canBeOnTime(call, nowMs + estimate.waitMs())
                 ? estimate
-                : expectedWait(order.precedence(rank, false), ALL_RANKS, targets, routers, nowMs);
+                : expectedWait(order.precedence(rank, false, false), ALL_RANKS, targets, routers, nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -9,16 +9,23 @@
 
 /**
  * Queued calls of one service, ordered by the rank they are queued with and by whether they can still be on time;
- * without the latter, one burst would make every later call late as well. Among equals, retries of refused callers come
- * first, then calls in order of arrival.
+ * without the latter, one burst would make every later call late as well. Among equals, calls of workspaces below their
+ * share come first, then retries of refused callers, then calls in order of arrival.
  */
 final class WaitingCalls {
 
     private final List<Entry> calls = new ArrayList<>();
     private final QueueOrder order;
+    private final Predicate<Call> aboveShare;
 
-    WaitingCalls(QueueOrder order) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param aboveShare whether a call is of a workspace above its share
+     */
+    WaitingCalls(QueueOrder order, Predicate<Call> aboveShare) {
         this.order = order;
+        this.aboveShare = aboveShare;
     }
 
     /**
@@ -72,18 +79,24 @@
      *
      * @param entry the call
      * @param precedence its {@link Precedence}
+     * @param late whether it can no longer be on time
+     * @param aboveShare whether it is of a workspace above its share
      * @param number its arrival index
      */
-    record OrderedCall(Entry entry, int precedence, int number) {}
+    record OrderedCall(Entry entry, int precedence, boolean late, boolean aboveShare, int number) {}
 
     /** All calls in the order in which they are sent. */
     List<OrderedCall> inOrder(Predicate<Call> onTime) {
         List<OrderedCall> out = new ArrayList<>();
         for (int i = 0; i < calls.size(); i++) {
             Entry e = calls.get(i);
-            out.add(new OrderedCall(e, precedence(e, onTime), i));
+            boolean canBeOnTime = onTime.test(e.call());
+            boolean above = aboveShare.test(e.call());
+            out.add(new OrderedCall(e, order.precedence(e.rank(), canBeOnTime, above), !canBeOnTime, above, i));
         }
         out.sort(Comparator.comparingInt(OrderedCall::precedence)
+                .thenComparing(OrderedCall::late)
+                .thenComparing(OrderedCall::aboveShare)
                 .thenComparing(t -> !t.entry().call().isRetry())
                 .thenComparingInt(OrderedCall::number));
         return out;
@@ -103,6 +116,6 @@
     }
 
     private int precedence(Entry e, Predicate<Call> onTime) {
-        return order.precedence(e.rank(), onTime.test(e.call()));
+        return order.precedence(e.rank(), onTime.test(e.call()), aboveShare.test(e.call()));
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -66,6 +66,11 @@
                         Math.round(state.heardPart() * PERCENT)));
     }
 
+    /** Adds that the call's workspace has used more than its share of the service's slots. */
+    void aboveShare() {
+        addTrouble("share", "above");
+    }
+
     /** Adds the wait estimate that the call was refused for. */
     void queueWait(WaitEstimate estimate) {
         addTrouble(
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -97,6 +97,7 @@
     Call call(Set<String> excluded, boolean responseBegun, long expectedEvents) {
         boolean model = config.service(service).map(TargetService::modelEngine).orElse(false);
         return Call.of(service, arrivedAtMs)
+                .workspace(workspace.map(WorkspaceAccess::name).orElse(""))
                 .rank(rank(), times.isRetry())
                 .times(
                         times.firstByteDeadlineMs(),
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -181,6 +181,10 @@
                 waiting = null;
                 forwarder.dequeue(r.call());
                 r.estimate().ifPresent(logEntry::queueWait);
+                if (forwarder.placement().isAboveShare(r.call())) {
+                    logEntry.aboveShare();
+                    forwarder.metrics().event("refused.above_share");
+                }
                 endWithoutTarget(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
             }
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -273,6 +273,7 @@
                 .put("attempts", calls.attemptCount())
                 .put("notBegun", startScheduler.queuedCount())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
+                .put("workspaceUseMs", workspaceUse())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openCount())
                 .put("targetConnectionsOpened", connections.opened())
@@ -286,6 +287,16 @@
         return out.future();
     }
 
+    private JsonObject workspaceUse() {
+        JsonObject out = new JsonObject();
+        placement.workspaceUse(MonotonicClock.nowMs()).forEach((service, uses) -> {
+            JsonObject byWorkspace = new JsonObject();
+            uses.forEach(u -> byWorkspace.put(u.workspace() + " rank " + u.rank(), u.usedMs()));
+            out.put(service, byWorkspace);
+        });
+        return out;
+    }
+
     private void peerUsageChanged() {
         quotas.heardPart(peers.heardPart());
         pumpSoon();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -102,6 +102,7 @@
         placement.peerUses(routerId, usage.uses());
         placement.peerWaiting(routerId, usage.waiting());
         placement.peerRates(routerId, usage.rates());
+        placement.peerWorkspaceUse(routerId, usage.workspaceUse(), MonotonicClock.nowMs());
         if (config == null) {
             // The usage names workspaces that are not known yet; it must be kept, since a full message is not sent
             // again.
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
@@ -164,7 +164,8 @@
                 totals,
                 sendFullState ? windows.get() : Map.of(),
                 now.news().waiting(),
-                now.news().rates()));
+                now.news().rates(),
+                now.news().workspaceUse()));
         if (accepted) {
             lastSent = now;
             lastSentAtMs = nowMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerUsageTracker.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerUsageTracker.java
@@ -56,7 +56,8 @@
                 usage.totals(),
                 usage.windows(),
                 usage.waiting(),
-                usage.rates());
+                usage.rates(),
+                usage.workspaceUse());
     }
 
     /** Clears the usage of routers that have become silent and reports each of them to the listener. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -87,8 +87,8 @@
 
         @Override
         public Function<String, PeerUpdate> news() {
-            return router ->
-                    new PeerUpdate(near, Map.copyOf(uses), Map.copyOf(waiting), Map.of(), Set.copyOf(borrowed));
+            return router -> new PeerUpdate(
+                    near, Map.copyOf(uses), Map.copyOf(waiting), Map.of(), Map.of(), Set.copyOf(borrowed));
         }
 
         @Override
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/PlacementRouter.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/PlacementRouter.java
@@ -109,6 +109,7 @@
         placement.peerUses(peer, update.uses());
         placement.peerWaiting(peer, update.waiting());
         placement.peerRates(peer, update.rates());
+        placement.peerWorkspaceUse(peer, update.workspaceUse(), time.nowMillis());
         pump();
     }
 
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -14,8 +12,6 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
-import org.onyxhinge.core.place.ServiceRates;
-import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
@@ -45,18 +41,10 @@
     private static final int ROLLOUT_UPDATE = 17;
     private static final int ROLLOUT_REPORT = 18;
     private static final int REFUSED_REQUESTS = 19;
-    private static final int USAGE_FIELDS = 8;
-    /** Routers of the previous version send no rates. */
-    private static final int USAGE_FIELDS_WITHOUT_RATES = 7;
-
-    /** Rates are encoded as integers, in hundredths of a call per second. */
-    private static final double RATE_SCALE = 100;
 
     private static final int MAX_PREFIXES = 4_096;
     private static final int MAX_CRASHES = 65_536;
     private static final int MAX_LIMITS = 16_384;
-    /** Far above the number of targets and workspaces that a site is planned for; a larger map is invalid. */
-    private static final int MAX_USAGE_ENTRIES = 16_384;
 
     private PeerCodec() {}
 
@@ -90,11 +78,11 @@
                         .packInt(o.order().kind().ordinal())
                         .packString(o.order().argument())
                         .packLong(o.order().fencingToken());
-            case PeerMessage.Usage u -> writeUsage(p, u);
+            case PeerMessage.Usage u -> UsageCodec.write(writeHeader(p, USAGE, UsageCodec.fields(u)), u);
             case PeerMessage.SlotReserved r -> writeHeader(p, SLOT_RESERVED, 1).packString(r.targetId());
             case PeerMessage.SlotDemand w -> {
                 writeHeader(p, SLOT_DEMAND, 3).packString(w.routerId()).packString(w.service());
-                writeCounts(p, w.waiting());
+                UsageCodec.writeCounts(p, w.waiting());
             }
             case PeerMessage.Crashes c -> writeCrashes(p, c);
             case PeerMessage.SuspectCompleted a -> {
@@ -117,118 +105,6 @@
         }
     }
 
-    private static void writeUsage(MessagePacker p, PeerMessage.Usage u) throws IOException {
-        writeHeader(p, USAGE, USAGE_FIELDS)
-                .packString(u.routerId())
-                .packLong(u.startId())
-                .packBoolean(u.full());
-        p.packMapHeader(u.uses().size());
-        for (Map.Entry<String, TargetUse> e : u.uses().entrySet()) {
-            p.packString(e.getKey());
-            p.packArrayHeader(2);
-            p.packInt(e.getValue().calls());
-            p.packLong(e.getValue().prefillTokens());
-        }
-        writeUnits(p, u.totals());
-        writeUnits(p, u.windows());
-        p.packMapHeader(u.waiting().size());
-        for (Map.Entry<String, Map<Integer, Integer>> e : u.waiting().entrySet()) {
-            p.packString(e.getKey());
-            writeCounts(p, e.getValue());
-        }
-        p.packMapHeader(u.rates().size());
-        for (Map.Entry<String, ServiceRates> e : u.rates().entrySet()) {
-            p.packString(e.getKey()).packInt(encodeRate(e.getValue().freed()));
-            Map<Integer, Integer> arrived = new HashMap<>();
-            e.getValue().arrivedByRank().forEach((rank, perSecond) -> arrived.put(rank, encodeRate(perSecond)));
-            writeCounts(p, arrived);
-        }
-    }
-
-    private static int encodeRate(double perSecond) {
-        return (int) Math.round(perSecond * RATE_SCALE);
-    }
-
-    private static Map<String, ServiceRates> readRates(MessageUnpacker u) throws IOException {
-        Map<String, ServiceRates> rates = new HashMap<>();
-        for (int remaining = readMapSize(u); remaining > 0; remaining--) {
-            String service = u.unpackString();
-            double freed = u.unpackInt() / RATE_SCALE;
-            Map<Integer, Double> arrived = new HashMap<>();
-            readCounts(u).forEach((rank, perSecond) -> arrived.put(rank, perSecond / RATE_SCALE));
-            rates.put(service, new ServiceRates(freed, arrived));
-        }
-        return rates;
-    }
-
-    private static void writeCounts(MessagePacker p, Map<Integer, Integer> byPrecedence) throws IOException {
-        p.packMapHeader(byPrecedence.size());
-        for (Map.Entry<Integer, Integer> e : byPrecedence.entrySet()) {
-            p.packInt(e.getKey()).packInt(e.getValue());
-        }
-    }
-
-    private static void writeUnits(MessagePacker p, Map<String, Long> units) throws IOException {
-        p.packMapHeader(units.size());
-        for (Map.Entry<String, Long> e : units.entrySet()) {
-            p.packString(e.getKey()).packLong(e.getValue());
-        }
-    }
-
-    private static PeerMessage.Usage readUsage(MessageUnpacker u, int fields) throws IOException {
-        if (fields != USAGE_FIELDS_WITHOUT_RATES) {
-            requireFields(u, fields, USAGE_FIELDS);
-        }
-        String routerId = u.unpackString();
-        long startId = u.unpackLong();
-        boolean full = u.unpackBoolean();
-        Map<String, TargetUse> uses = new HashMap<>();
-        for (int remaining = readMapSize(u); remaining > 0; remaining--) {
-            String target = u.unpackString();
-            if (u.unpackArrayHeader() != 2) {
-                throw new WireException("target use must have 2 fields");
-            }
-            uses.put(target, new TargetUse(u.unpackInt(), u.unpackLong()));
-        }
-        Map<String, Long> totals = readUnits(u);
-        Map<String, Long> windows = readUnits(u);
-        Map<String, Map<Integer, Integer>> waiting = readWaiting(u);
-        Map<String, ServiceRates> rates = fields == USAGE_FIELDS ? readRates(u) : Map.of();
-        return new PeerMessage.Usage(routerId, startId, full, uses, totals, windows, waiting, rates);
-    }
-
-    private static Map<String, Map<Integer, Integer>> readWaiting(MessageUnpacker u) throws IOException {
-        Map<String, Map<Integer, Integer>> waiting = new HashMap<>();
-        for (int remaining = readMapSize(u); remaining > 0; remaining--) {
-            waiting.put(u.unpackString(), readCounts(u));
-        }
-        return waiting;
-    }
-
-    private static Map<Integer, Integer> readCounts(MessageUnpacker u) throws IOException {
-        Map<Integer, Integer> byPrecedence = new HashMap<>();
-        for (int remaining = readMapSize(u); remaining > 0; remaining--) {
-            byPrecedence.put(u.unpackInt(), u.unpackInt());
-        }
-        return byPrecedence;
-    }
-
-    private static Map<String, Long> readUnits(MessageUnpacker u) throws IOException {
-        Map<String, Long> units = new HashMap<>();
-        for (int remaining = readMapSize(u); remaining > 0; remaining--) {
-            units.put(u.unpackString(), u.unpackLong());
-        }
-        return units;
-    }
-
-    private static int readMapSize(MessageUnpacker u) throws IOException {
-        int n = u.unpackMapHeader();
-        if (n > MAX_USAGE_ENTRIES) {
-            throw new WireException("too many map entries: " + n);
-        }
-        return n;
-    }
-
     private static MessagePacker writeHeader(MessagePacker p, int tag, int fields) throws IOException {
         return p.packArrayHeader(fields + 1).packInt(tag);
     }
@@ -265,11 +141,12 @@
                 new PeerMessage.OrderRequest(
                         requireFields(u, fields, 4).unpackLong(),
                         new Order(enumValue(OrderKind.values(), u.unpackInt()), u.unpackString(), u.unpackLong()));
-            case USAGE -> readUsage(u, fields);
+            case USAGE -> UsageCodec.read(u, fields);
             case SLOT_RESERVED ->
                 new PeerMessage.SlotReserved(requireFields(u, fields, 1).unpackString());
             case SLOT_DEMAND ->
-                new PeerMessage.SlotDemand(requireFields(u, fields, 3).unpackString(), u.unpackString(), readCounts(u));
+                new PeerMessage.SlotDemand(
+                        requireFields(u, fields, 3).unpackString(), u.unpackString(), UsageCodec.readCounts(u));
             case CRASHES -> readCrashes(u, fields);
             case SUSPECT_COMPLETED ->
                 new PeerMessage.SuspectCompleted(readFingerprint(requireFields(u, fields, 3)), u.unpackLong());
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -13,6 +13,7 @@
 import org.onyxhinge.core.rollout.RolloutPhase;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.schedule.LoadReport;
+import org.onyxhinge.core.share.WorkspaceShares;
 
 /**
  * Messages between routers and agents and among routers. A router connects to an agent and subscribes; after that
@@ -133,6 +134,8 @@
      *     knows, by workspace; only in a full update
      * @param waiting number of calls queued at the sender, by service and precedence; complete in every update
      * @param rates call rates per second that the sender observes, by service; complete in every update
+     * @param workspaceUse target time used by the workspaces' calls at the sender, by service; complete in every
+     *     update, empty if the slots are not shared between workspaces
      */
     record Usage(
             String routerId,
@@ -142,7 +145,8 @@
             Map<String, Long> totals,
             Map<String, Long> windows,
             Map<String, Map<Integer, Integer>> waiting,
-            Map<String, ServiceRates> rates)
+            Map<String, ServiceRates> rates,
+            Map<String, List<WorkspaceShares.Use>> workspaceUse)
             implements RouterToRouter {
 
         /** Copies the maps. */
@@ -152,6 +156,7 @@
             totals = Map.copyOf(totals);
             windows = Map.copyOf(windows);
             rates = Map.copyOf(rates);
+            workspaceUse = Map.copyOf(workspaceUse);
         }
     }
 
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -17,6 +18,7 @@
 import org.onyxhinge.core.rollout.AnswerCount;
 import org.onyxhinge.core.rollout.RolloutPhase;
 import org.onyxhinge.core.schedule.EngineInfo;
+import org.onyxhinge.core.share.WorkspaceShares;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvCodec;
 import org.onyxhinge.wire.kv.KvMessage;
@@ -87,7 +89,10 @@
         Map<String, TargetUse> uses = Map.of("w1", new TargetUse(3, startId), "w2", new TargetUse(0, 0));
         Map<String, Map<Integer, Integer>> waiting = Map.of("writers", Map.of(0, 3, 1_002, 40), "mailroom", Map.of());
         Map<String, ServiceRates> rates = Map.of("writers", new ServiceRates(6.25, Map.of(0, 0.5, 1_002, 41.0)));
-        PeerMessage.Usage usage = new PeerMessage.Usage("r1", startId, full, uses, units, Map.of(), waiting, rates);
+        Map<String, List<WorkspaceShares.Use>> shares =
+                full ? Map.of("writers", List.of(new WorkspaceShares.Use(1_002, "agency", startId))) : Map.of();
+        PeerMessage.Usage usage =
+                new PeerMessage.Usage("r1", startId, full, uses, units, Map.of(), waiting, rates, shares);
         assertThat(PeerCodec.decode(PeerCodec.encode(usage)), equalTo(usage));
         PeerMessage.SlotReserved reserved = new PeerMessage.SlotReserved("w1");
         assertThat(PeerCodec.decode(PeerCodec.encode(reserved)), equalTo(reserved));
@@ -105,6 +110,28 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
     }
 
+    /** Guards against routers of the previous version, which know eight fields, losing their links to this one. */
+    @Example
+    void usageWithoutSharesIsTheMessageOfThePreviousVersion() {
+        byte[] previous = {
+            (byte) 0x99,
+            11,
+            (byte) 0xa1,
+            'r',
+            7,
+            (byte) 0xc3,
+            (byte) 0x80,
+            (byte) 0x80,
+            (byte) 0x80,
+            (byte) 0x80,
+            (byte) 0x80
+        };
+        PeerMessage.Usage usage =
+                new PeerMessage.Usage("r", 7, true, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+        assertThat(PeerCodec.encode(usage), equalTo(previous));
+        assertThat(PeerCodec.decode(previous), equalTo(usage));
+    }
+
     @Property(tries = 300, seed = "15")
     void rolloutMessagesRoundTrip(@ForAll long id, @ForAll RolloutPhase phase, @ForAll boolean trial) {
         PeerMessage.RolloutUpdate update = new PeerMessage.RolloutUpdate("writers", id, phase, 7);
@@ -142,7 +169,8 @@
                 Map.of("agency", 70L),
                 Map.of("agency", 7L),
                 Map.of("writers", Map.of(1, 4)),
-                Map.of("writers", new ServiceRates(2, Map.of(1, 3.5)))));
+                Map.of("writers", new ServiceRates(2, Map.of(1, 3.5))),
+                Map.of("writers", List.of(new WorkspaceShares.Use(1, "agency", 70)))));
         byte[] crashes = PeerCodec.encode(crashes(7));
         crashes[position % crashes.length] = corruptByte;
         peerDecoderThrowsOnlyWireException(crashes);
