--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/share/WorkspaceShares.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/share/WorkspaceShares.java
@@ -15,8 +15,8 @@
  */
 public final class WorkspaceShares {
 
-    /** Time constant of the decay: long compared with a call, and half of the 10 s within which shares must be fair. */
-    private static final double TIME_CONSTANT_MS = 4_000;
+    /** Time constant of the decay: long compared with a call, below the 10 s within which shares must be fair. */
+    private static final double TIME_CONSTANT_MS = 8_000;
 
     /**
      * Part of the used time that is within the shares; use beyond the level at which this part is reached is above the
