Short calls of a less urgent rank are served about as often as the rank above

With short_call_shares on, RankShares asks ShortCallShares for the rank that an arriving call is queued with. A promoted call does not overtake queued calls of a rank in between that is refused more often than sent within the last second.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -19,10 +19,12 @@
     private final long promptTokens;
     private final long outputEvents;
     private final Set<String> avoid = new HashSet<>();
+    private int queuedRank;
 
     private Call(Builder b) {
         this.service = b.service;
         this.rank = b.rank;
+        this.queuedRank = b.rank;
         this.isRetry = b.isRetry;
         this.firstByteDeadlineMs = b.firstByteDeadlineMs;
         this.queueDeadlineMs = b.queueDeadlineMs;
@@ -48,6 +50,15 @@
         return rank;
     }
 
+    /** The rank that the call is queued with; more urgent than its own if it is promoted. */
+    public int queuedRank() {
+        return queuedRank;
+    }
+
+    void queuedWith(int promotedRank) {
+        queuedRank = promotedRank;
+    }
+
     /** Whether this is a retry by a caller that was refused before. */
     public boolean isRetry() {
         return isRetry;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 
+import org.onyxhinge.core.share.ShortCallShares;
+
 /**
  * Decides for one router which target a call is sent to, which calls are queued and which are refused. Targets run a
  * bounded number of requests at once and do not know ranks, so the router never exceeds that bound and keeps a queue
@@ -332,7 +334,7 @@
 
     /** Removes a queued call because its caller has disconnected. */
     public void withdraw(Call call) {
-        demand(call.service()).waiting().remove(call);
+        demand(call.service()).withdrawn(call);
     }
 
     /**
@@ -439,15 +441,21 @@
         return out;
     }
 
+    /** State of the shares of short calls per service, for diagnostic dumps; empty if they are not used. */
+    public Map<String, ShortCallShares.State> shortCallStates(long nowMs) {
+        Map<String, ShortCallShares.State> out = new TreeMap<>();
+        demands.forEach((name, demand) -> demand.shortCallState(nowMs).ifPresent(s -> out.put(name, s)));
+        return out;
+    }
+
     private Verdict.Send send(Call call, TargetState target, long nowMs) {
         ServiceDemand demand = demand(call.service());
+        demand.sent(call, target.service(), nowMs);
         slots.taken(target.service(), demand, call, target, nowMs);
-        demand.sent(call, nowMs);
         return new Verdict.Send(call, target);
     }
 
     private ServiceDemand demand(String service) {
-        return demands.computeIfAbsent(
-                service, s -> new ServiceDemand(QueueOrder.of(settings), settings.uses(Mechanism.LEAST_SHARE)));
+        return demands.computeIfAbsent(service, s -> new ServiceDemand(settings));
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -9,6 +9,8 @@
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 
+import org.onyxhinge.core.share.ShortCallShares;
+
 /** Demand for one service: calls queued here and at the peers, arrival rates, and the rate at which slots are freed. */
 final class ServiceDemand {
 
@@ -39,8 +41,7 @@
     /** Recent slot requests from routers of other groups. */
     private final Map<String, BorrowRequest> borrowRequests = new HashMap<>();
 
-    private final RankShares shares = new RankShares();
-    private final boolean minimumShare;
+    private final RankShares shares;
 
     /** A slot request from a router of another group, and when it expires. */
     private record BorrowRequest(PeerDemand demand, long untilMs) {}
@@ -48,16 +49,11 @@
     /** A peer that needs a slot, and its demand. */
     record PeerNeed(String peer, PeerDemand demand) {}
 
-    /**
-     * Creates the demand of a service without calls.
-     *
-     * @param order order of the queued calls
-     * @param minimumShare whether calls of a rank with too small a share of the slots are promoted
-     */
-    ServiceDemand(QueueOrder order, boolean minimumShare) {
-        this.order = order;
+    /** Creates the demand of a service without calls, with the queue order and the shares that the settings ask for. */
+    ServiceDemand(PlacementSettings settings) {
+        this.order = QueueOrder.of(settings);
         this.waiting = new WaitingCalls(order);
-        this.minimumShare = minimumShare;
+        this.shares = new RankShares(settings);
     }
 
     /** Calls queued at this router. */
@@ -82,11 +78,14 @@
     /** Records a call that arrives or needs a further target; returns the rank it is queued with. */
     int arrived(Call call, long nowMs) {
         arrivalRates.computeIfAbsent(call.rank(), r -> new Rate()).event(nowMs);
-        return minimumShare ? shares.effectiveRank(call, nowMs) : call.rank();
+        int rank = shares.effectiveRank(call, waiting, nowMs);
+        call.queuedWith(rank);
+        return rank;
     }
 
-    void sent(Call call, long nowMs) {
-        shares.sent(call, nowMs);
+    /** Records a call that is about to be sent to a target of the service. */
+    void sent(Call call, ServiceTargets targets, long nowMs) {
+        shares.sent(call, () -> targets.canBeOnTime(call, nowMs), nowMs);
         sentAtMs.put(call, nowMs);
     }
 
@@ -94,12 +93,24 @@
         shares.refused(call, nowMs);
     }
 
+    /** Removes a queued call whose caller has disconnected. */
+    void withdrawn(Call call) {
+        waiting.remove(call);
+        shares.withdrawn(call);
+    }
+
+    /** The state of the shares of short calls, if they are used. */
+    Optional<ShortCallShares.State> shortCallState(long nowMs) {
+        return shares.shortCallState(nowMs);
+    }
+
     /** Records that a call of this router has ended. */
     void ended(Call call, long nowMs) {
         freed.event(nowMs);
         Long startedAtMs = sentAtMs.remove(call);
         if (startedAtMs != null) {
             holdTimeMs += HOLD_TIME_SMOOTHING * (nowMs - startedAtMs - holdTimeMs);
+            shares.ended(call, nowMs - startedAtMs);
         }
     }
 
@@ -189,8 +200,8 @@
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
      * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
      * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
-     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late by
-     * the end of its wait also waits for all arrivals.
+     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late
+     * by the end of its wait also waits for all arrivals.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -26,12 +26,33 @@
      *
      * @param rank the rank it is queued with, which may be more urgent than its own
      */
-    record Entry(Call call, int rank, long sinceMs) {}
+    record Entry(Call call, int rank, long sinceMs) {
+
+        /** A promoted retry does not go before other calls of the rank that it is queued with. */
+        boolean isRetryOfItsRank() {
+            return call.isRetry() && rank == call.rank();
+        }
+    }
 
     void add(Call call, int rank, long nowMs) {
         calls.add(new Entry(call, rank, nowMs));
     }
 
+    boolean anyOfRank(int rank) {
+        return calls.stream().anyMatch(e -> e.call().rank() == rank);
+    }
+
+    /** Gives the calls of a rank, and those queued with it, a more urgent rank unless they have it. */
+    void promote(int ownRank, int toRank) {
+        for (int i = 0; i < calls.size(); i++) {
+            Entry e = calls.get(i);
+            if ((e.call().rank() == ownRank || e.rank() == ownRank) && e.rank() > toRank) {
+                calls.set(i, new Entry(e.call(), toRank, e.sinceMs()));
+                e.call().queuedWith(toRank);
+            }
+        }
+    }
+
     boolean remove(Call call) {
         return calls.removeIf(e -> e.call() == call);
     }
@@ -84,7 +105,7 @@
             out.add(new OrderedCall(e, precedence(e, onTime), i));
         }
         out.sort(Comparator.comparingInt(OrderedCall::precedence)
-                .thenComparing(t -> !t.entry().call().isRetry())
+                .thenComparing(t -> !t.entry().isRetryOfItsRank())
                 .thenComparingInt(OrderedCall::number));
         return out;
     }
--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/share/package-info.java
@@ -0,0 +1,2 @@
+/** Shares of a contended service's slots. */
+package org.onyxhinge.core.share;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -25,6 +25,9 @@
     /** Known number of calls at the target when the call was last sent there, including this one. */
     int targetCalls;
 
+    /** Rank that the call was queued with; more urgent than its own if it was promoted, -1 if it was not submitted. */
+    int queuedRank = -1;
+
     /** Age of the configuration's confirmation when the call was checked; -1 if it was not checked. */
     long confirmationAgeMs = -1;
 
@@ -92,8 +95,8 @@
             forwarder.metrics().completionMs(routeName, tookMs);
         }
         LOG.infof(
-                "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d deadlineMs=%d"
-                        + " promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
+                "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
+                        + " deadlineMs=%d promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
                         + " target=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d troubles=\"%s\"",
@@ -104,6 +107,7 @@
                 routeName,
                 plan == null ? "" : plan.workspace().map(WorkspaceAccess::name).orElse(""),
                 plan == null ? -1 : plan.rank(),
+                queuedRank,
                 plan == null ? -1 : plan.head().deadlineMs(),
                 plan == null ? -1 : plan.head().promptTokens(),
                 plan == null ? -1 : plan.head().maxOutputTokens(),
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -164,6 +164,7 @@
 
     /** Carries out the placement's decision about this request's call. */
     void onVerdict(Verdict verdict) {
+        logEntry.queuedRank = verdict.call().queuedRank();
         switch (verdict) {
             case Verdict.Wait w -> {
                 waiting = w.call();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -273,6 +273,7 @@
                 .put("attempts", calls.attemptCount())
                 .put("notBegun", startScheduler.queuedCount())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
+                .put("shortCalls", shortCalls())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openCount())
                 .put("targetConnectionsOpened", connections.opened())
@@ -286,6 +287,19 @@
         return out.future();
     }
 
+    private JsonObject shortCalls() {
+        JsonObject out = new JsonObject();
+        placement
+                .shortCallStates(MonotonicClock.nowMs())
+                .forEach((service, s) -> out.put(
+                        service,
+                        new JsonObject()
+                                .put("promotedCalls", s.promotedCalls())
+                                .put("heldBackCalls", s.heldBackCalls())
+                                .put("promotedSlotPercent", s.promotedSlotPercent())));
+        return out;
+    }
+
     private void peerUsageChanged() {
         quotas.heardPart(peers.heardPart());
         pumpSoon();
