Merge short calls of a less urgent rank

Read before the merge: off, RankShares and the queue decide as before (a retry is only ever promoted with the mechanism on); no existing test was changed.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 
+import org.onyxhinge.core.share.ShortCallShares;
 import org.onyxhinge.core.share.WorkspaceShares;
 
 /**
@@ -342,7 +343,7 @@
 
     /** Removes a queued call because its caller has disconnected. */
     public void withdraw(Call call) {
-        demand(call.service()).waiting().remove(call);
+        demand(call.service()).withdrawn(call);
     }
 
     /**
@@ -461,11 +462,17 @@
         return out;
     }
 
+    /** State of the shares of short calls per service, for diagnostic dumps; empty if they are not used. */
+    public Map<String, ShortCallShares.State> shortCallStates(long nowMs) {
+        Map<String, ShortCallShares.State> out = new TreeMap<>();
+        demands.forEach((name, demand) -> demand.shortCallState(nowMs).ifPresent(s -> out.put(name, s)));
+        return out;
+    }
+
     private Verdict.Send send(Call call, TargetState target, long nowMs) {
         ServiceDemand demand = demand(call.service());
-        double expectedMs = target.lastByteMs(call);
+        demand.sent(call, target.service(), target.lastByteMs(call), nowMs);
         slots.taken(target.service(), demand, call, target, nowMs);
-        demand.sent(call, expectedMs, nowMs);
         return new Verdict.Send(call, target);
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -10,6 +10,7 @@
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 
+import org.onyxhinge.core.share.ShortCallShares;
 import org.onyxhinge.core.share.WorkspaceShares;
 
 /** Demand for one service: calls queued here and at the peers, arrival rates, and the rate at which slots are freed. */
@@ -42,8 +43,7 @@
     /** Recent slot requests from routers of other groups. */
     private final Map<String, BorrowRequest> borrowRequests = new HashMap<>();
 
-    private final RankShares shares = new RankShares();
-    private final boolean minimumShare;
+    private final RankShares shares;
     private final Optional<WorkspaceShares> workspaceShares;
 
     /** When a call was sent, and how long it was expected to hold its slot. */
@@ -55,16 +55,11 @@
     /** A peer that needs a slot, and its demand. */
     record PeerNeed(String peer, PeerDemand demand) {}
 
-    /**
-     * Creates the demand of a service without calls.
-     *
-     * @param settings determine the order of the queued calls, and whether calls of a rank with too small a share of
-     *     the slots are promoted
-     */
+    /** Creates the demand of a service without calls, with the queue order and the shares that the settings ask for. */
     ServiceDemand(PlacementSettings settings) {
         this.order = QueueOrder.of(settings);
         this.waiting = new WaitingCalls(order, this::isAboveShare);
-        this.minimumShare = settings.uses(Mechanism.LEAST_SHARE);
+        this.shares = new RankShares(settings);
         this.workspaceShares =
                 settings.uses(Mechanism.WORKSPACE_SHARES) ? Optional.of(new WorkspaceShares()) : Optional.empty();
     }
@@ -106,16 +101,18 @@
     /** Records a call that arrives or needs a further target; returns the rank it is queued with. */
     int arrived(Call call, long nowMs) {
         arrivalRates.computeIfAbsent(call.rank(), r -> new Rate()).event(nowMs);
-        return minimumShare ? shares.effectiveRank(call, nowMs) : call.rank();
+        int rank = shares.effectiveRank(call, waiting, nowMs);
+        call.queuedWith(rank);
+        return rank;
     }
 
     /**
-     * Records that a call is sent.
+     * Records a call that is about to be sent to a target of the service.
      *
      * @param expectedMs how long it is expected to hold its slot
      */
-    void sent(Call call, double expectedMs, long nowMs) {
-        shares.sent(call, nowMs);
+    void sent(Call call, ServiceTargets targets, double expectedMs, long nowMs) {
+        shares.sent(call, () -> targets.canBeOnTime(call, nowMs), nowMs);
         running.put(call, new Sending(nowMs, expectedMs));
         workspaceShares.ifPresent(s -> s.used(call.rank(), call.workspace(), expectedMs, nowMs));
     }
@@ -124,6 +121,17 @@
         shares.refused(call, nowMs);
     }
 
+    /** Removes a queued call whose caller has disconnected. */
+    void withdrawn(Call call) {
+        waiting.remove(call);
+        shares.withdrawn(call);
+    }
+
+    /** The state of the shares of short calls, if they are used. */
+    Optional<ShortCallShares.State> shortCallState(long nowMs) {
+        return shares.shortCallState(nowMs);
+    }
+
     /** Records that a call of this router has ended. */
     void ended(Call call, long nowMs) {
         freed.event(nowMs);
@@ -132,6 +140,7 @@
             long tookMs = nowMs - sending.atMs();
             holdTimeMs += HOLD_TIME_SMOOTHING * (tookMs - holdTimeMs);
             workspaceShares.ifPresent(s -> s.used(call.rank(), call.workspace(), tookMs - sending.expectedMs(), nowMs));
+            shares.ended(call, tookMs);
         }
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -274,6 +274,7 @@
                 .put("notBegun", startScheduler.queuedCount())
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
                 .put("workspaceUseMs", workspaceUse())
+                .put("shortCalls", shortCalls())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", connections.openCount())
                 .put("targetConnectionsOpened", connections.opened())
@@ -297,6 +298,19 @@
         return out;
     }
 
+    private JsonObject shortCalls() {
+        JsonObject out = new JsonObject();
+        placement
+                .shortCallStates(MonotonicClock.nowMs())
+                .forEach((service, s) -> out.put(
+                        service,
+                        new JsonObject()
+                                .put("promotedCalls", s.promotedCalls())
+                                .put("heldBackCalls", s.heldBackCalls())
+                                .put("promotedSlotPercent", s.promotedSlotPercent())));
+        return out;
+    }
+
     private void peerUsageChanged() {
         quotas.heardPart(peers.heardPart());
         pumpSoon();
