Repeated requests yield, and callers refused by a lowered quota are told different times

With repeat_limits on, a request that arrives again and again before the time its caller was told goes after the other calls of its rank, and after a lowering of a quota the retries are spread over the window in which it becomes available.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -53,6 +54,10 @@
     private long usageKnownFromMs;
     private long ownTotal;
     private double level;
+    private Optional<RetrySpread> spread = Optional.empty();
+    /** Whether the limit was lowered below the usage in the window. */
+    private boolean lowered;
+
     private long refilledAtMs;
 
     /** The last update from a router: its incarnation and its running total. */
@@ -95,8 +100,18 @@
         return quota;
     }
 
+    /**
+     * Spreads the times told to refused callers after the limit was lowered, until the usage is within the new limit.
+     *
+     * @param start where this router's times begin, 0 to 1; differs between routers
+     */
+    public void spreadRetries(double start) {
+        spread = Optional.of(new RetrySpread(windowMs, start));
+    }
+
     /** Applies a new limit. */
     public void limit(double newPerSecond, double newBurst) {
+        lowered |= newPerSecond < perSecond || newBurst < burst;
         perSecond = newPerSecond;
         burst = newBurst;
     }
@@ -172,6 +187,13 @@
         return new QuotaState(counted, (long) windowLimit(heardPart), (long) level, heardPart);
     }
 
+    /** Time that a caller refused now is told. */
+    public long retryAfterMs(long units, int rank, double heardPart, long nowMs) {
+        long waitMs = waitMs(units, rank, heardPart, nowMs);
+        lowered &= usedInWindow(nowMs) > windowLimit(1);
+        return lowered && spread.isPresent() ? spread.get().delayMs(waitMs) : waitMs;
+    }
+
     /** Estimated time until {@code units} are available. */
     public long waitMs(long units, int rank, double heardPart, long nowMs) {
         long shortfall = shortfall(units, rank, heardPart, nowMs);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -12,6 +12,7 @@
     private final String service;
     private final int rank;
     private final boolean isRetry;
+    private final boolean isRepeat;
     private final long firstByteDeadlineMs;
     private final long queueDeadlineMs;
     private final long responseDeadlineMs;
@@ -26,6 +27,7 @@
         this.rank = b.rank;
         this.queuedRank = b.rank;
         this.isRetry = b.isRetry;
+        this.isRepeat = b.isRepeat;
         this.firstByteDeadlineMs = b.firstByteDeadlineMs;
         this.queueDeadlineMs = b.queueDeadlineMs;
         this.responseDeadlineMs = b.responseDeadlineMs;
@@ -64,6 +66,11 @@
         return isRetry;
     }
 
+    /** Whether its caller repeats it before the time it was told; it goes after the other calls of its rank. */
+    public boolean isRepeat() {
+        return isRepeat;
+    }
+
     /** Deadline for the first byte to count as on time. */
     public long firstByteDeadlineMs() {
         return firstByteDeadlineMs;
@@ -106,6 +113,7 @@
         private final Set<String> avoid = new HashSet<>();
         private int rank;
         private boolean isRetry;
+        private boolean isRepeat;
         private long firstByteDeadlineMs;
         private long queueDeadlineMs;
         private long responseDeadlineMs = Long.MAX_VALUE;
@@ -126,6 +134,12 @@
             return this;
         }
 
+        /** Sets whether the caller repeats the request before the time it was told. */
+        public Builder repeat(boolean value) {
+            isRepeat = value;
+            return this;
+        }
+
         /** Sets the deadline of the first byte and the latest time until which the call may be queued. */
         public Builder times(long onTimeMs, long holdMs) {
             firstByteDeadlineMs = onTimeMs;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RankShares.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RankShares.java
@@ -58,7 +58,7 @@
     }
 
     void refused(Call call, long nowMs) {
-        if (!call.isRetry()) {
+        if (!call.isRetry() && !call.isRepeat()) {
             counts(call.rank()).refused().add(nowMs);
             shortCalls.ifPresent(s -> s.refused(call.rank(), nowMs));
         }
@@ -100,6 +100,9 @@
      * @param waiting the queued calls, some of which may be promoted with it
      */
     int effectiveRank(Call call, WaitingCalls waiting, long nowMs) {
+        if (call.isRepeat()) {
+            return call.rank();
+        }
         if (shortCalls.isPresent()) {
             boolean mayBePromoted = minimumShare && !call.isRetry();
             ShortCallShares.Turn turn = shortCalls
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -69,7 +69,7 @@
     /** Whether any call queued here precedes a new call with a rank. */
     boolean anyAhead(Call call, int rank, ServiceTargets targets, long nowMs) {
         return switch (order) {
-            case RANK_FIRST -> waiting.ahead(Precedence.of(rank, true), c -> true) > 0;
+            case RANK_FIRST -> waiting.ahead(Precedence.of(rank, !call.isRepeat()), c -> true) > 0;
             case ON_TIME_FIRST ->
                 waiting.ahead(precedence(call, rank, targets, nowMs), c -> targets.canBeOnTime(c, nowMs)) > 0;
         };
@@ -207,14 +207,19 @@
      * @param routers number of routers that share the targets, including this one
      */
     WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
-        if (order == QueueOrder.RANK_FIRST) {
+        if (order == QueueOrder.RANK_FIRST && !call.isRepeat()) {
             return expectedWait(Precedence.of(rank, true), rank, targets, routers, nowMs);
         }
         int onTime = order.precedence(rank, true);
         WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
         return targets.canBeOnTime(call, nowMs + estimate.waitMs())
                 ? estimate
-                : expectedWait(order.precedence(rank, false), ALL_RANKS, targets, routers, nowMs);
+                : expectedWait(
+                        order.precedence(rank, false),
+                        order == QueueOrder.RANK_FIRST ? rank + 1 : ALL_RANKS,
+                        targets,
+                        routers,
+                        nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -290,8 +290,11 @@
         return false;
     }
 
-    /** Whether the first byte of a call would be on time if the call were sent now. */
+    /** Whether the first byte of a call would be on time if it were sent now. A repeat yields like a late call. */
     boolean canBeOnTime(Call call, long nowMs) {
+        if (call.isRepeat()) {
+            return false;
+        }
         for (TargetState t : usableTargets(nowMs)) {
             if (t.takesCalls()
                     && !t.health().refusesCalls(nowMs)
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -105,6 +105,7 @@
             out.add(new OrderedCall(e, precedence(e, onTime), i));
         }
         out.sort(Comparator.comparingInt(OrderedCall::precedence)
+                .thenComparing(t -> t.entry().call().isRepeat())
                 .thenComparing(t -> !t.entry().isRetryOfItsRank())
                 .thenComparingInt(OrderedCall::number));
         return out;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -61,12 +61,13 @@
                 "quota",
                 String.format(
                         Locale.ROOT,
-                        "units=%d used=%d limit=%d level=%d heardPercent=%d",
+                        "units=%d used=%d limit=%d level=%d heardPercent=%d waitMs=%d",
                         exceeded.units(),
                         state.used(),
                         state.limit(),
                         state.level(),
-                        Math.round(state.heardPart() * PERCENT)));
+                        Math.round(state.heardPart() * PERCENT),
+                        exceeded.waitMs()));
     }
 
     /** Adds the wait estimate that the call was refused for. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -93,11 +93,13 @@
      * @param responseBegun whether the caller has received part of the response, in which case the call may wait until
      *     its deadline
      * @param expectedEvents expected number of events in the response
+     * @param repeat whether the caller repeats the request before the time it was told
      */
-    Call call(Set<String> excluded, boolean responseBegun, long expectedEvents) {
+    Call call(Set<String> excluded, boolean responseBegun, long expectedEvents, boolean repeat) {
         boolean model = config.service(service).map(TargetService::modelEngine).orElse(false);
         return Call.of(service, arrivedAtMs)
                 .rank(rank(), times.isRetry())
+                .repeat(repeat)
                 .times(
                         times.firstByteDeadlineMs(),
                         responseBegun ? times.responseDeadlineMs() : times.queueDeadlineMs())
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -31,6 +31,7 @@
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private RequestFingerprint fingerprint = RequestFingerprint.NONE;
+    private boolean repeated;
     private boolean quotaCharged;
     private boolean finished;
     private Call waiting;
@@ -117,12 +118,25 @@
                         fingerprint = plan.fingerprint(request, received);
                         plan = forwarder.retryRecognition().recognize(plan, fingerprint);
                         logEntry.fingerprint = fingerprint;
+                        recognizeRepeat();
                         admit();
                     }
                 },
                 () -> fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
     }
 
+    private void recognizeRepeat() {
+        int early = forwarder
+                .repeats()
+                .map(r -> r.arrived(fingerprint.low(), plan.callerDeadlineMs(), MonotonicClock.nowMs()))
+                .orElse(0);
+        repeated = early > 0;
+        if (repeated) {
+            logEntry.addTrouble("repeat", "early=" + early);
+            forwarder.metrics().event("repeats.early");
+        }
+    }
+
     private void admit() {
         if (forwarder.crashQuarantine().isQuarantined(fingerprint)) {
             refuseQuarantined();
@@ -159,7 +173,7 @@
         long events = forwarder
                 .lengths()
                 .expectedEvents(plan.route().name(), plan.head().expectedOutputTokens());
-        return plan.call(excluded, caller.headSent(), events);
+        return plan.call(excluded, caller.headSent(), events, repeated);
     }
 
     /** Carries out the placement's decision about this request's call. */
@@ -471,11 +485,21 @@
         sendRefusal(503, why, retryAfterMs);
     }
 
+    private void recordForRepeats(long retryAfterMs) {
+        if (!fingerprint.equals(RequestFingerprint.NONE)) {
+            long nowMs = MonotonicClock.nowMs();
+            forwarder
+                    .repeats()
+                    .ifPresent(r -> r.refused(fingerprint.low(), retryAfterMs, plan.callerDeadlineMs(), nowMs));
+        }
+    }
+
     private void sendRefusal(int status, String why, long retryAfterMs) {
         forwarder.metrics().event("refused." + why);
         forwarder.deadlines().refused(MonotonicClock.nowMs());
         if (plan != null) {
             forwarder.retryRecognition().refused(plan, fingerprint, retryAfterMs);
+            recordForRepeats(retryAfterMs);
         }
         caller.refuse(status, why, retryAfterMs);
         end("refused", why);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -17,6 +17,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.limit.RepeatLimits;
 import org.onyxhinge.core.limit.RetryBudget;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallerDeadlines;
@@ -65,6 +66,7 @@
     private final TargetRateLimits targetLimits;
     private final Rollouts rollouts;
     private final RetryRecognition retryRecognition;
+    private final Optional<RepeatLimits> repeats;
     private final PeerDelegate peerDelegate;
     private final GracefulShutdown shutdown;
     private final CallerConnections callers = new CallerConnections();
@@ -101,6 +103,7 @@
         this.crashQuarantine = new CrashQuarantine(vertx, connections, metrics, this::broadcast, calls::quarantined);
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
         this.rollouts = new Rollouts(this, settings.rollouts());
+        this.repeats = settings.contention().repeatLimits() ? Optional.of(RepeatLimits.create()) : Optional.empty();
         this.retryRecognition = new RetryRecognition(
                 vertx, settings.contention().retryRecognition(), m -> peers.sendToDataCentre(m), metrics);
         this.peerDelegate = new PeerDelegate(
@@ -281,6 +284,7 @@
                 .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
                 .put("targetLimits", placement.limits().size())
                 .put("refusedRequests", retryRecognition.size())
+                .put("repeatRecords", repeats.map(RepeatLimits::size).orElse(0))
                 .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
                 .put("routersKnown", peers.expectedRouters())
                 .put("routersHeardPart", peers.heardPart())));
@@ -376,6 +380,11 @@
         return rollouts;
     }
 
+    /** The requests that callers repeat too early, if they are limited. */
+    Optional<RepeatLimits> repeats() {
+        return repeats;
+    }
+
     RetryRecognition retryRecognition() {
         return retryRecognition;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -26,6 +26,9 @@
 
     private static final double MS_PER_SECOND = 1_000;
 
+    /** Number of positions at which a router's retry times may begin. */
+    private static final int SPREAD_STARTS = 997;
+
     private final Map<String, SharedQuota> quotas = new HashMap<>();
     private final Map<String, Limit> limits = new HashMap<>();
     /** The start id ({@code life}) last reported by each router. */
@@ -88,12 +91,15 @@
         return quota.tryTake(units, rank, heardPart, nowMs)
                 ? Optional.empty()
                 : Optional.of(new Exceeded(
-                        units, quota.waitMs(units, rank, heardPart, nowMs), quota.state(heardPart, nowMs)));
+                        units, quota.retryAfterMs(units, rank, heardPart, nowMs), quota.state(heardPart, nowMs)));
     }
 
     private SharedQuota create(WorkspaceAccess workspace, long nowMs) {
         SharedQuota quota = SharedQuota.create(
                 workspace.quotaPerSecond(), workspace.quotaBurst(), windowMs, pastUse(workspace, nowMs), nowMs);
+        if (settings.contention().repeatLimits()) {
+            quota.spreadRetries(Math.floorMod(settings.routerId().hashCode(), SPREAD_STARTS) / (double) SPREAD_STARTS);
+        }
         // Routers that were heard from have reported no usage of this workspace, so they have not let anything through.
         startIdByRouter.forEach(quota::addIdlePeer);
         return quota;
