--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -13,6 +13,7 @@
     private final String workspace;
     private final int rank;
     private final boolean isRetry;
+    private final boolean isRepeat;
     private final long firstByteDeadlineMs;
     private final long queueDeadlineMs;
     private final long responseDeadlineMs;
@@ -28,6 +29,7 @@
         this.rank = b.rank;
         this.queuedRank = b.rank;
         this.isRetry = b.isRetry;
+        this.isRepeat = b.isRepeat;
         this.firstByteDeadlineMs = b.firstByteDeadlineMs;
         this.queueDeadlineMs = b.queueDeadlineMs;
         this.responseDeadlineMs = b.responseDeadlineMs;
@@ -71,6 +73,11 @@
         return isRetry;
     }
 
+    /** Whether its caller repeats it before the time it was told; it goes after the other calls of its rank. */
+    public boolean isRepeat() {
+        return isRepeat;
+    }
+
     /** Deadline for the first byte to count as on time. */
     public long firstByteDeadlineMs() {
         return firstByteDeadlineMs;
@@ -114,6 +121,7 @@
         private String workspace = "";
         private int rank;
         private boolean isRetry;
+        private boolean isRepeat;
         private long firstByteDeadlineMs;
         private long queueDeadlineMs;
         private long responseDeadlineMs = Long.MAX_VALUE;
@@ -140,6 +148,12 @@
             return this;
         }
 
+        /** Sets whether the caller repeats the request before the time it was told. */
+        public Builder repeat(boolean value) {
+            isRepeat = value;
+            return this;
+        }
+
         /** Sets the deadline of the first byte and the latest time until which the call may be queued. */
         public Builder times(long onTimeMs, long holdMs) {
             firstByteDeadlineMs = onTimeMs;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -92,7 +92,8 @@
     /** Whether any call queued here precedes a new call with a rank. */
     boolean anyAhead(Call call, int rank, ServiceTargets targets, long nowMs) {
         return switch (order) {
-            case RANK_FIRST -> waiting.ahead(order.precedence(rank, true, isAboveShare(call)), c -> true) > 0;
+            case RANK_FIRST ->
+                waiting.ahead(order.precedence(rank, !call.isRepeat(), isAboveShare(call)), c -> true) > 0;
             case ON_TIME_FIRST ->
                 waiting.ahead(precedence(call, rank, targets, nowMs), c -> targets.canBeOnTime(c, nowMs)) > 0;
         };
@@ -239,9 +240,17 @@
     WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
         int onTime = order.precedence(rank, true, isAboveShare(call));
         WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
-        return order == QueueOrder.RANK_FIRST || targets.canBeOnTime(call, nowMs + estimate.waitMs())
+        boolean remainsOnTime = order == QueueOrder.RANK_FIRST
+                ? !call.isRepeat()
+                : targets.canBeOnTime(call, nowMs + estimate.waitMs());
+        return remainsOnTime
                 ? estimate
-                : expectedWait(order.precedence(rank, false, false), ALL_RANKS, targets, routers, nowMs);
+                : expectedWait(
+                        order.precedence(rank, false, false),
+                        order == QueueOrder.RANK_FIRST ? rank + 1 : ALL_RANKS,
+                        targets,
+                        routers,
+                        nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -117,6 +117,7 @@
         }
         out.sort(Comparator.comparingInt(OrderedCall::precedence)
                 .thenComparing(OrderedCall::late)
+                .thenComparing(t -> t.entry().call().isRepeat())
                 .thenComparing(OrderedCall::aboveShare)
                 .thenComparing(t -> !t.entry().isRetryOfItsRank())
                 .thenComparingInt(OrderedCall::number));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -31,6 +31,7 @@
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private RequestFingerprint fingerprint = RequestFingerprint.NONE;
+    private boolean repeated;
     private Call waiting;
     private Attempt attempt;
     private final StreamProgress stream = new StreamProgress();
@@ -115,12 +116,25 @@
                         fingerprint = plan.fingerprint(request, received);
                         plan = forwarder.retryRecognition().recognize(plan, fingerprint);
                         logEntry.fingerprint = fingerprint;
+                        recognizeRepeat();
                         admit();
                     }
                 },
                 () -> end.fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
     }
 
+    private void recognizeRepeat() {
+        int early = forwarder
+                .repeats()
+                .map(r -> r.arrived(fingerprint.low(), plan.callerDeadlineMs(), MonotonicClock.nowMs()))
+                .orElse(0);
+        repeated = early > 0;
+        if (repeated) {
+            logEntry.addTrouble("repeat", "early=" + early);
+            forwarder.metrics().event("repeats.early");
+        }
+    }
+
     private void admit() {
         if (forwarder.crashQuarantine().isQuarantined(fingerprint)) {
             refuseQuarantined();
@@ -156,7 +170,7 @@
         long events = forwarder
                 .lengths()
                 .expectedEvents(plan.route().name(), plan.head().expectedOutputTokens());
-        return plan.call(excluded, caller.headSent(), events);
+        return plan.call(excluded, caller.headSent(), events, repeated);
     }
 
     /** Carries out the placement's decision about this request's call. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -77,11 +78,20 @@
         forwarder.deadlines().refused(MonotonicClock.nowMs());
         if (exchange.plan() != null) {
             forwarder.retryRecognition().refused(exchange.plan(), exchange.fingerprint(), retryAfterMs);
+            recordForRepeats(retryAfterMs);
         }
         caller.refuse(status, why, retryAfterMs);
         end("refused", why);
     }
 
+    private void recordForRepeats(long retryAfterMs) {
+        if (!exchange.fingerprint().equals(RequestFingerprint.NONE)) {
+            long key = exchange.fingerprint().low();
+            long deadlineMs = exchange.plan().callerDeadlineMs();
+            forwarder.repeats().ifPresent(r -> r.refused(key, retryAfterMs, deadlineMs, MonotonicClock.nowMs()));
+        }
+    }
+
     /** Ends a call with an error that does not promise that it was not executed. */
     void fail(int status, String outcome, String message) {
         if (!finished) {
