Limits on what is buffered for callers that read slowly

With reader_buffer_bytes or readers_buffer_bytes set, the router counts the response bytes that wait for each caller. Above the total, the connections with the most bytes are cut at once; a connection above its own limit is cut when its caller has read nothing for reader_stall_ms. The cut response does not look complete. Off by default; ReaderLimitsTest.withoutLimitsNobodyIsCut.

HttpConnection.close() first writes what is buffered: a cut caller that read on received the whole response of 8,000,000 bytes in the test. The channel is closed below Vert.x instead.

A connection that a target closes after its response was not read for a second does not count against the target (in force always). With that rule out of reach, targetThatCutsAnUnreadResponseIs- NotSuspected failed.

HTTP server options move out of Forwarder.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/schedule/RefusalReason.java
@@ -2,8 +2,8 @@
 
 /**
  * Why a request was refused or stopped. {@link #notRun()} is true only when the request was not given to any engine, so
- * a caller that receives "not run" may safely send it again. Statuses 408, 421, 429 and 503 promise the same and are not
- * used for other reasons.
+ * a caller that receives "not run" may safely send it again. Statuses 408, 421, 429 and 503 promise the same and are
+ * not used for other reasons.
  */
 public enum RefusalReason {
     /** The body could not be parsed as a request. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -21,6 +21,9 @@
     /** Maximum size of a response body that is buffered completely before it is forwarded. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
+    /** A target may cut a response that was not read for this long; its own limit is some seconds. */
+    private static final long MIN_UNREAD_MS = 1_000;
+
     private final Forwarder forwarder;
     private final Owner owner;
     private final Call call;
@@ -39,6 +42,9 @@
     private boolean paused;
 
     private long pausedAtMs;
+    /** The longest time for which this router did not read the response. */
+    private long longestUnreadMs;
+
     private Buffer body;
 
     /** Supplies the request of an attempt and receives its events. */
@@ -252,7 +258,19 @@
         }
     }
 
+    private long unreadMs(long nowMs) {
+        return Math.max(longestUnreadMs, paused ? nowMs - pausedAtMs : 0);
+    }
+
     private void connectionLost(Throwable e) {
+        if (!ended && unreadMs(MonotonicClock.nowMs()) >= MIN_UNREAD_MS) {
+            // The target has cut a response that this router did not read; that says nothing about its health.
+            forwarder.metrics().event("readers.target_cut");
+            if (finish(false)) {
+                owner.connectionBroke(this, "response cut after not being read for " + longestUnreadMs + " ms");
+            }
+            return;
+        }
         if (!ended) {
             forwarder.crashQuarantine().connectionBroke(owner.fingerprint(), target);
         }
@@ -330,7 +348,7 @@
 
     /** Stops reading the response until the caller has read what is buffered for it. */
     void pause() {
-        if (response != null) {
+        if (response != null && !paused) {
             paused = true;
             pausedAtMs = MonotonicClock.nowMs();
             response.pause();
@@ -339,10 +357,11 @@
 
     /** Continues reading; the target's silence is measured from now on. */
     void resume() {
-        if (response != null) {
-            paused = false;
+        if (paused) {
             lastByteAtMs = MonotonicClock.nowMs();
+            longestUnreadMs = unreadMs(lastByteAtMs);
             observer.notRead(lastByteAtMs - pausedAtMs);
+            paused = false;
             response.resume();
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerResponse.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerResponse.java
@@ -27,8 +27,12 @@
      */
     private static final double RETRY_JITTER = 0.5;
 
+    /** Size of the parts of a body: a slow caller reads one within a fraction of the time that it may be silent. */
+    private static final int PART_BYTES = 65_536;
+
     private final HttpServerRequest request;
     private final HttpServerResponse response;
+    private final SlowReaders readers;
     private final BooleanSupplier preferOtherRouter;
     private StreamHead streamHead;
 
@@ -38,12 +42,14 @@
     /**
      * Creates the response to a request.
      *
+     * @param readers counts what is buffered for the caller
      * @param preferOtherRouter whether the caller's next request should go to another router: a load balancer sends new
      *     connections there, but an open connection stays
      */
-    CallerResponse(HttpServerRequest request, BooleanSupplier preferOtherRouter) {
+    CallerResponse(HttpServerRequest request, SlowReaders readers, BooleanSupplier preferOtherRouter) {
         this.request = request;
         this.response = request.response();
+        this.readers = readers;
         this.preferOtherRouter = preferOtherRouter;
     }
 
@@ -56,11 +62,25 @@
         copyHead(status, from);
         if (request.method() == HttpMethod.HEAD || status == 204 || status == 304) {
             response.end();
+        } else if (readers.enabled()) {
+            sendInParts(body);
         } else {
             response.end(body);
         }
     }
 
+    /** Writes a body in parts, whose ends show whether the caller reads. The body stays in memory until the last. */
+    private void sendInParts(Buffer body) {
+        response.putHeader("Content-Length", Integer.toString(body.length()));
+        readers.buffered(request.connection(), body.length());
+        int from = 0;
+        while (body.length() - from > PART_BYTES) {
+            readers.writing(request.connection(), response.write(body.slice(from, from + PART_BYTES)), 0);
+            from += PART_BYTES;
+        }
+        readers.writing(request.connection(), response.end(body.slice(from, body.length())), body.length());
+    }
+
     /**
      * Stores the head of a stream, which is sent with the first event. Until then the target may break off, and what
      * follows is another target's response or an error of this router, which must not carry the first target's
@@ -89,7 +109,8 @@
     /** Writes bytes of a stream; true if the caller is not reading fast enough. */
     boolean write(Buffer bytes) {
         sendStreamHead();
-        response.write(bytes);
+        readers.buffered(request.connection(), bytes.length());
+        readers.writing(request.connection(), response.write(bytes), bytes.length());
         return response.writeQueueFull();
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.vertx.core.http.HttpConnection;
 import org.onyxhinge.core.place.TargetRole;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
@@ -51,6 +52,11 @@
         List.copyOf(exchanges).forEach(Exchange::abortByShutdown);
     }
 
+    /** Ends the exchanges on a connection that is about to be closed because its caller reads too slowly. */
+    void cutReader(HttpConnection connection) {
+        exchanges.stream().filter(x -> x.isOn(connection)).toList().forEach(Exchange::readerCut);
+    }
+
     /** Ends the exchanges of a request that has just been quarantined. */
     void quarantined(RequestFingerprint request) {
         exchanges.stream().filter(x -> x.fingerprint().equals(request)).toList().forEach(Exchange::quarantined);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -6,6 +6,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
@@ -38,7 +39,7 @@
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
         this.request = request;
-        this.caller = new CallerResponse(request, () -> !forwarder.ready());
+        this.caller = new CallerResponse(request, forwarder.readers(), () -> !forwarder.ready());
         this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
     }
 
@@ -382,6 +383,18 @@
         }
     }
 
+    boolean isOn(HttpConnection connection) {
+        return request.connection() == connection;
+    }
+
+    /** Ends a call whose caller reads too slowly. */
+    void readerCut() {
+        if (!end.finished()) {
+            cancelWork();
+            end.cutOff("slow_reader");
+        }
+    }
+
     /** The call's plan; null until its head has been accepted. */
     CallPlan plan() {
         return plan;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -13,7 +13,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
@@ -37,8 +36,6 @@
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
     private static final long SWEEP_INTERVAL_MS = 100;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int ACCEPT_BACKLOG = 1_024;
     /**
      * How long calls wait for the first configuration. A starting router receives it within this time unless the store
      * is unavailable.
@@ -68,6 +65,7 @@
     private final PeerDelegate peerDelegate;
     private final GracefulShutdown shutdown;
     private final CallerConnections callers = new CallerConnections();
+    private final SlowReaders readers;
     private Context context;
     private StartScheduler startScheduler;
     private WaitingExchanges waiting;
@@ -97,6 +95,7 @@
         this.retries = RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs());
         this.shutdown = new GracefulShutdown(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
+        this.readers = new SlowReaders(vertx, settings.contention().readers(), metrics, calls::cutReader);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
         this.crashQuarantine = new CrashQuarantine(vertx, connections, metrics, this::broadcast, calls::quarantined);
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
@@ -134,18 +133,7 @@
     }
 
     private Future<Forwarder> listen() {
-        HttpServerOptions options = new HttpServerOptions()
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setMaxInitialLineLength(MAX_HEADER_BYTES)
-                .setAcceptBacklog(ACCEPT_BACKLOG)
-                .setTcpNoDelay(true)
-                .setCompressionSupported(false)
-                // Only HTTP/1.1 is served. Every additional handler is code that a fresh process first runs
-                // interpreted.
-                .setHttp2ClearTextEnabled(false)
-                .setPerFrameWebSocketCompressionSupported(false)
-                .setPerMessageWebSocketCompressionSupported(false);
-        server = vertx.createHttpServer(options)
+        server = vertx.createHttpServer(CallerServerOptions.create())
                 .connectionHandler(callers::opened)
                 .exceptionHandler(e -> LOG.debugf("caller connection error=%s", e.getMessage()))
                 .invalidRequestHandler(this::malformed)
@@ -280,6 +268,7 @@
                 .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
                 .put("targetLimits", placement.limits().size())
                 .put("refusedRequests", retryRecognition.size())
+                .put("readers", readers.dump())
                 .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
                 .put("routersKnown", peers.expectedRouters())
                 .put("routersHeardPart", peers.heardPart())));
@@ -315,6 +304,7 @@
         long nowMs = MonotonicClock.nowMs();
         config.logKeyTrust();
         calls.reportSilent(nowMs);
+        readers.cut(nowMs);
         targets.sweep(nowMs);
         rollouts.sweep(nowMs);
         connections.sweep(id -> placement.target(id).map(TargetState::isReady).orElse(false));
@@ -430,6 +420,10 @@
         return calls;
     }
 
+    SlowReaders readers() {
+        return readers;
+    }
+
     /** Removes a call that no longer waits. */
     void dequeue(Call call) {
         waiting.remove(call);
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/SlowReaders.java
@@ -0,0 +1,107 @@
+package org.onyxhinge.router.forward;
+
+import java.util.function.Consumer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.impl.ConnectionBase;
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.limit.ReaderBuffers;
+import org.onyxhinge.wire.MonotonicClock;
+
+/**
+ * Counts the response bytes that are buffered for callers, and closes the connections of those that must be cut. Bytes
+ * count from their write until Vert.x has passed them to the operating system. Without limits, nothing is counted.
+ */
+final class SlowReaders {
+
+    private static final Logger LOG = Logger.getLogger(SlowReaders.class);
+
+    private final Vertx vertx;
+    private final boolean enabled;
+    private final ReaderBuffers<HttpConnection> buffers;
+    private final ForwardingMetrics metrics;
+    private final Consumer<HttpConnection> beforeCut;
+    private boolean cutScheduled;
+
+    /**
+     * Creates an instance without any bytes.
+     *
+     * @param beforeCut called with a connection that is about to be closed
+     */
+    SlowReaders(Vertx vertx, ReaderLimits limits, ForwardingMetrics metrics, Consumer<HttpConnection> beforeCut) {
+        this.vertx = vertx;
+        this.enabled = limits.enabled();
+        this.buffers = ReaderBuffers.create(limits.connectionBytes(), limits.totalBytes(), limits.stallMs());
+        this.metrics = metrics;
+        this.beforeCut = beforeCut;
+    }
+
+    /** Whether buffered bytes are counted. */
+    boolean enabled() {
+        return enabled;
+    }
+
+    /** Records bytes about to be written to a connection, which stay in memory until they are released. */
+    void buffered(HttpConnection connection, int bytes) {
+        if (enabled) {
+            buffers.buffered(connection, bytes, MonotonicClock.nowMs());
+            if (buffers.aboveTotal() && !cutScheduled) {
+                cutScheduled = true;
+                vertx.runOnContext(v -> {
+                    cutScheduled = false;
+                    cut(MonotonicClock.nowMs());
+                });
+            }
+        }
+    }
+
+    /**
+     * Follows a write.
+     *
+     * @param released number of buffered bytes that are no longer in memory once it has ended
+     */
+    void writing(HttpConnection connection, Future<Void> write, int released) {
+        if (enabled) {
+            write.onComplete(r -> {
+                if (r.succeeded()) {
+                    buffers.progressed(connection, MonotonicClock.nowMs());
+                }
+                buffers.released(connection, released);
+            });
+        }
+    }
+
+    /** Cuts the callers that exceed a limit. */
+    void cut(long nowMs) {
+        if (enabled) {
+            buffers.cut(nowMs).forEach(this::cut);
+        }
+    }
+
+    private void cut(ReaderBuffers.Cut<HttpConnection> cut) {
+        HttpConnection connection = cut.reader();
+        metrics.event("readers.cut");
+        LOG.infof(
+                "reader cut caller=%s bufferedBytes=%d unreadMs=%d why=%s",
+                connection.remoteAddress(), cut.bytes(), cut.unreadMs(), cut.reason());
+        beforeCut.accept(connection);
+        if (connection instanceof ConnectionBase c) {
+            // HttpConnection.close() and Channel.close() first write what is buffered, which ends only if the caller
+            // reads.
+            c.channelHandlerContext().close();
+        } else {
+            connection.close();
+        }
+    }
+
+    /** Buffered bytes, for the state dump. */
+    JsonObject dump() {
+        return new JsonObject()
+                .put("connections", buffers.size())
+                .put("bufferedBytes", buffers.bufferedBytes())
+                .put("largestBytes", buffers.largestBytes());
+    }
+}
