Retries of refused callers are scheduled into time slots; margin of the first byte

Off by default (planned_returns). A ledger counts the promised retries by time slot of 100 ms, fed by the router's own refusals and by those that RetryRecognition receives. A scheduled Retry-After gets no jitter.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 
+import org.onyxhinge.core.admit.RetryLedger;
+
 /**
  * Decides for one router which target a call is sent to, which calls are queued and which are refused. Targets run a
  * bounded number of requests at once and do not know ranks, so the router never exceeds that bound and keeps a queue
@@ -30,6 +32,7 @@
     private final SlotSharing slots;
     private final SlotBorrowing borrowing;
     private final Admission admission;
+    private final Optional<RetrySchedule> schedule;
     private final Map<String, ServiceDemand> demands = new HashMap<>();
 
     private Placement(
@@ -39,7 +42,10 @@
         this.targets = new TargetTable(dataCentre, settings, fleet);
         this.slots = new SlotSharing(fleet, settings, slotReserved);
         this.borrowing = new SlotBorrowing(fleet);
-        this.admission = new Admission(fleet, settings.uses(Mechanism.EARLY_REFUSAL));
+        this.schedule = settings.uses(Mechanism.PLANNED_RETURNS)
+                ? Optional.of(new RetrySchedule(RetryLedger.create(router.hashCode()), QueueOrder.of(settings)))
+                : Optional.empty();
+        this.admission = new Admission(fleet, settings.uses(Mechanism.EARLY_REFUSAL), schedule);
     }
 
     /** Creates a placement without targets and peers, for a router in {@code dataCentre}. */
@@ -203,6 +209,7 @@
         }
         ServiceDemand demand = demand(call.service());
         int rank = demand.arrived(call, nowMs);
+        admission.arrived(service, demand, nowMs);
         WaitingCalls queue = demand.waiting();
         if (!demand.anyAhead(call, rank, service, nowMs)) {
             int precedence = demand.precedence(call, rank, service, nowMs);
@@ -214,7 +221,7 @@
         WaitEstimate estimate = admission.expectedWait(call, rank, service, demand, nowMs);
         if (admission.exceedsMaxWait(call, estimate, nowMs)) {
             demand.refused(call, nowMs);
-            return Admission.refuse(call, Verdict.Reason.BUSY, estimate);
+            return admission.refuse(call, Verdict.Reason.BUSY, estimate, service, demand, nowMs);
         }
         queue.add(call, rank, nowMs);
         return new Verdict.Wait(call);
@@ -313,7 +320,7 @@
         for (Call call : queue.removeMatching(c -> nowMs >= c.queueDeadlineMs())) {
             WaitEstimate estimate = admission.expectedWait(call, call.rank(), service, demand, nowMs);
             demand.refused(call, nowMs);
-            out.add(Admission.refuse(call, Verdict.Reason.WAITED, estimate));
+            out.add(admission.refuse(call, Verdict.Reason.WAITED, estimate, service, demand, nowMs));
         }
         if (queue.isEmpty() || !service.anyAvailable(nowMs)) {
             return;
@@ -342,6 +349,7 @@
      * @param tokensToRead prompt tokens queued at the target when the call was sent, including its own
      */
     public void firstByte(Call call, TargetState target, double tookMs, long tokensToRead) {
+        target.service().margin().firstByte(call, tookMs);
         target.learnFirstByte(tookMs, call.promptTokens() == 0 ? 0 : tokensToRead);
         target.prefilled(call);
     }
@@ -355,6 +363,7 @@
         if (!prefilled) {
             target.prefilled(call);
         }
+        target.service().margin().ended(call);
         target.ended();
         slots.freed(target);
         demand(call.service()).ended(call, nowMs);
@@ -439,8 +448,16 @@
         return out;
     }
 
+    /** The promised retries of refused callers; empty if retries are not scheduled. */
+    public Optional<RetryLedger> retryLedger() {
+        return schedule.map(RetrySchedule::ledger);
+    }
+
     private Verdict.Send send(Call call, TargetState target, long nowMs) {
         ServiceDemand demand = demand(call.service());
+        if (settings.uses(Mechanism.PLANNED_RETURNS)) {
+            target.service().margin().sent(call, target.firstByteMs(call));
+        }
         slots.taken(target.service(), demand, call, target, nowMs);
         demand.sent(call, nowMs);
         return new Verdict.Send(call, target);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
@@ -21,6 +21,17 @@
         return settings.uses(Mechanism.ON_TIME_FIRST) ? ON_TIME_FIRST : RANK_FIRST;
     }
 
+    /** Returns the most urgent rank whose arriving calls do not precede a call. */
+    int firstRankBehind(int rank, boolean canBeOnTime) {
+        if (canBeOnTime) {
+            return rank;
+        }
+        return switch (this) {
+            case RANK_FIRST -> rank + 1;
+            case ON_TIME_FIRST -> Integer.MAX_VALUE;
+        };
+    }
+
     /** Returns the precedence of a call that is queued with a rank. */
     int precedence(int rank, boolean canBeOnTime) {
         return switch (this) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -110,6 +110,29 @@
         return new ServiceRates(freed.perSecond(nowMs), arrived);
     }
 
+    /**
+     * Rates of all routers together. A peer that has not reported its rates is assumed to have those of this router.
+     *
+     * @param routers number of routers that share the targets, including this one
+     */
+    ServiceRates fleetRates(int routers, long nowMs) {
+        ServiceRates own = rates(nowMs);
+        double unreportedRouters = routers - peerRates.size();
+        double freedPerSecond = own.freed() * unreportedRouters;
+        Map<Integer, Double> arrived = new HashMap<>();
+        own.arrivedByRank().forEach((rank, perSecond) -> arrived.put(rank, perSecond * unreportedRouters));
+        for (ServiceRates r : peerRates.values()) {
+            freedPerSecond += r.freed();
+            r.arrivedByRank().forEach((rank, perSecond) -> arrived.merge(rank, perSecond, Double::sum));
+        }
+        return new ServiceRates(freedPerSecond, arrived);
+    }
+
+    /** Rate at which slots become free for all routers while all slots are in use. */
+    double freedPerSecond(ServiceTargets targets, int routers, long nowMs) {
+        return Math.max(fleetRates(routers, nowMs).freed(), fullTurnoverPerSecond(targets, nowMs));
+    }
+
     /** Replaces the rates reported by a peer; null for none. */
     void peerRates(String peer, ServiceRates rates) {
         if (rates == null) {
@@ -189,8 +212,8 @@
      * Estimates how long a call would wait: the calls ahead of it here and at the peers, divided by the rate at which
      * slots are freed for all routers, less the rate at which calls of more urgent ranks arrive. While all targets
      * refuse calls, this starts when the first of them will accept some. A peer that has not reported its rates is
-     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late by
-     * the end of its wait also waits for all arrivals.
+     * assumed to have the same rates as this router. If calls that can be on time come first, a call that will be late
+     * by the end of its wait also waits for all arrivals.
      *
      * @param rank the rank the call is queued with
      * @param routers number of routers that share the targets, including this one
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import org.onyxhinge.core.admit.FirstByteMargin;
+
 /** The targets of one service, with averages over all of them. */
 final class ServiceTargets {
 
@@ -65,6 +67,7 @@
     private long assignedAtVersion;
     private final MovingAverage gapMs = MovingAverage.withInitialValue(INITIAL_GAP_MS);
     private final MovingAverage prefillMs = MovingAverage.withInitialValue(INITIAL_PREFILL_MS_PER_TOKEN);
+    private final FirstByteMargin margin = FirstByteMargin.create();
     private final MovingAverage plainMs = MovingAverage.withInitialValue(INITIAL_PLAIN_MS);
 
     /** Creates the targets of a service, as seen by a router in {@code dataCentre}. */
@@ -198,6 +201,11 @@
         return plainMs;
     }
 
+    /** How much longer than predicted first bytes take. */
+    FirstByteMargin margin() {
+        return margin;
+    }
+
     /**
      * Returns the target where the response is expected to end first, including the network cost. A target that does
      * not suit the call is used only if none suits it: a response that cannot complete in time holds a slot for long
@@ -292,10 +300,11 @@
 
     /** Whether the first byte of a call would be on time if the call were sent now. */
     boolean canBeOnTime(Call call, long nowMs) {
+        double factor = settings.uses(Mechanism.PLANNED_RETURNS) ? margin.factor() : 1;
         for (TargetState t : usableTargets(nowMs)) {
             if (t.takesCalls()
                     && !t.health().refusesCalls(nowMs)
-                    && nowMs + t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
+                    && nowMs + factor * t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
                 return true;
             }
         }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Verdict.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Verdict.java
@@ -22,9 +22,11 @@
      * @param call the call
      * @param reason the reason
      * @param retryAfterMs time until a slot will probably be available
+     * @param scheduled whether the caller should retry exactly then, and not some time after
      * @param estimate the wait estimate behind the decision; empty if no target accepts calls
      */
-    record Refuse(Call call, Reason reason, long retryAfterMs, Optional<WaitEstimate> estimate) implements Verdict {}
+    record Refuse(Call call, Reason reason, long retryAfterMs, boolean scheduled, Optional<WaitEstimate> estimate)
+            implements Verdict {}
 
     /** The call is queued for a slot; another verdict follows. */
     record Wait(Call call) implements Verdict {}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -37,6 +37,9 @@
     /** Longest pause that a target asked for when it refused the call; 0 if none did. */
     long targetRetryAfterMs;
 
+    /** Delay after which a refused caller was promised a slot; -1 if it was promised none. */
+    long scheduledRetryMs = -1;
+
     long sentAfterMs = -1;
     long firstByteMs = -1;
     long longestGapMs;
@@ -96,7 +99,7 @@
                         + " promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
                         + " target=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
-                        + " config=%d proofAgeMs=%d troubles=\"%s\"",
+                        + " config=%d proofAgeMs=%d scheduledRetryMs=%d troubles=\"%s\"",
                 requestId,
                 fingerprint,
                 outcome,
@@ -120,6 +123,7 @@
                 tookMs,
                 plan == null ? -1 : plan.config().version(),
                 confirmationAgeMs,
+                scheduledRetryMs,
                 troubles);
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerResponse.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerResponse.java
@@ -102,14 +102,18 @@
         response.end();
     }
 
-    /** Refuses a call that was not executed, with a {@code Retry-After} in seconds (RFC 9110, section 10.2.3). */
-    void refuse(int status, String why, long retryAfterMs) {
+    /**
+     * Refuses a call that was not executed, with a {@code Retry-After} in seconds (RFC 9110, section 10.2.3).
+     *
+     * @param exact whether the caller should retry exactly then, because the time was chosen for it alone
+     */
+    void refuse(int status, String why, long retryAfterMs, boolean exact) {
         if (response.ended() || response.headWritten()) {
             return;
         }
         response.setStatusCode(status);
         if (retryAfterMs > 0) {
-            double jitter = 1 + ThreadLocalRandom.current().nextDouble() * RETRY_JITTER;
+            double jitter = exact ? 1 : 1 + ThreadLocalRandom.current().nextDouble() * RETRY_JITTER;
             // Avoids String.format: its first use in a process loads the locale's number formats, which takes 35 ms.
             BigDecimal seconds = BigDecimal.valueOf((long) (retryAfterMs * jitter), MS_DECIMALS);
             response.putHeader("Retry-After", seconds.toPlainString());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -33,6 +33,9 @@
     private RequestFingerprint fingerprint = RequestFingerprint.NONE;
     private boolean quotaCharged;
     private boolean finished;
+    /** Whether the retry delay of the refusal was chosen for this caller alone. */
+    private boolean retryScheduled;
+
     private Call waiting;
     private Attempt attempt;
     private long timerId = -1;
@@ -181,6 +184,7 @@
                 waiting = null;
                 forwarder.dequeue(r.call());
                 r.estimate().ifPresent(logEntry::queueWait);
+                retryScheduled = r.scheduled();
                 endWithoutTarget(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
             }
         }
@@ -476,7 +480,8 @@
         if (plan != null) {
             forwarder.retryRecognition().refused(plan, fingerprint, retryAfterMs);
         }
-        caller.refuse(status, why, retryAfterMs);
+        logEntry.scheduledRetryMs = retryScheduled ? retryAfterMs : -1;
+        caller.refuse(status, why, retryAfterMs, retryScheduled);
         end("refused", why);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -102,7 +102,11 @@
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
         this.rollouts = new Rollouts(this, settings.rollouts());
         this.retryRecognition = new RetryRecognition(
-                vertx, settings.contention().retryRecognition(), m -> peers.sendToDataCentre(m), metrics);
+                vertx,
+                settings.contention().retryRecognition(),
+                m -> peers.sendToDataCentre(m),
+                metrics,
+                placement.retryLedger());
         this.peerDelegate = new PeerDelegate(
                 placement,
                 quotas,
@@ -280,12 +284,24 @@
                 .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
                 .put("targetLimits", placement.limits().size())
                 .put("refusedRequests", retryRecognition.size())
+                .put("promisedRetries", promisedRetries())
                 .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
                 .put("routersKnown", peers.expectedRouters())
                 .put("routersHeardPart", peers.heardPart())));
         return out.future();
     }
 
+    /** Promised retries that are still to come, by service, and what other routers have told callers. */
+    private JsonObject promisedRetries() {
+        long nowMs = MonotonicClock.nowMs();
+        JsonObject out = new JsonObject();
+        placement.retryLedger().ifPresent(l -> {
+            out.put("own", new JsonObject(new HashMap<>(l.ownPromises(nowMs))));
+            out.put("peers", l.peerPromises(nowMs));
+        });
+        return out;
+    }
+
     private void peerUsageChanged() {
         quotas.heardPart(peers.heardPart());
         pumpSoon();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import org.onyxhinge.core.admit.Refusal;
 import org.onyxhinge.core.admit.RefusedRequests;
+import org.onyxhinge.core.admit.RetryLedger;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -25,6 +26,7 @@
     private final boolean enabled;
     private final Consumer<PeerMessage.RefusedRequests> sendToDataCentre;
     private final ForwardingMetrics metrics;
+    private final Optional<RetryLedger> ledger;
     private final RefusedRequests refused = RefusedRequests.create();
     private final List<Refusal> unsent = new ArrayList<>();
 
@@ -33,16 +35,19 @@
      *
      * @param enabled if false, nothing is recorded, sent or recognized
      * @param sendToDataCentre sends a message to the other routers of the data centre
+     * @param ledger counts when refused callers were told to retry; empty if retries are not scheduled
      */
     RetryRecognition(
             Vertx vertx,
             boolean enabled,
             Consumer<PeerMessage.RefusedRequests> sendToDataCentre,
-            ForwardingMetrics metrics) {
+            ForwardingMetrics metrics,
+            Optional<RetryLedger> ledger) {
         this.vertx = vertx;
         this.enabled = enabled;
         this.sendToDataCentre = sendToDataCentre;
         this.metrics = metrics;
+        this.ledger = ledger;
     }
 
     /** Returns the plan with the deadlines that follow from the caller's first attempt. */
@@ -69,6 +74,7 @@
                 plan.callerDeadlineMs(),
                 MonotonicClock.nowMs() + retryAfterMs);
         refused.add(refusal);
+        ledger.ifPresent(l -> l.refusalSent(MonotonicClock.nowMs()));
         if (unsent.isEmpty()) {
             vertx.setTimer(SEND_INTERVAL_MS, t -> sendUnsent());
         }
@@ -87,9 +93,11 @@
     /** Records the refusals of another router. */
     void receive(PeerMessage.RefusedRequests message) {
         long nowMs = MonotonicClock.nowMs();
-        message.requests()
-                .forEach(r -> refused.add(new Refusal(
-                        r.key(), nowMs - r.firstArrivalAgoMs(), nowMs + r.deadlineInMs(), nowMs + r.retryInMs())));
+        message.requests().forEach(r -> {
+            refused.add(new Refusal(
+                    r.key(), nowMs - r.firstArrivalAgoMs(), nowMs + r.deadlineInMs(), nowMs + r.retryInMs()));
+            ledger.ifPresent(l -> l.toldByPeer(nowMs + r.retryInMs(), nowMs));
+        });
     }
 
     /** Number of refusals on record, for the state dump. */
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/fleet/FleetPolicy.java
@@ -56,6 +56,10 @@
                                     PlacementSettings.defaults().without(m),
                                     true));
         }
+        all.add(new PlacementPolicy(
+                "with-on-time-first+planned-returns",
+                PlacementSettings.defaults().with(Set.of(Mechanism.ON_TIME_FIRST, Mechanism.PLANNED_RETURNS)),
+                true));
         all.add(new PlacementPolicy("no-peers", PlacementSettings.defaults(), false));
         all.add(new RoundRobin());
         all.add(new LeastOutstanding());
