--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/admit/RetryLedger.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/admit/RetryLedger.java
@@ -28,6 +28,12 @@
     /** Refusals without which the own ones are too few to compare the others with. */
     private static final double MIN_REFUSALS = 4;
 
+    /**
+     * Number of random time slots among which the one with the fewest promises is chosen if none has room. If all were
+     * compared, routers that have the same news would choose the same one.
+     */
+    private static final int CHOICES = 3;
+
     private static final double MS_PER_SECOND = 1_000;
 
     private final SplittableRandom random;
@@ -88,8 +94,8 @@
     }
 
     /**
-     * Returns when a refused caller should retry: in the earliest time slot with room, or else in the one with the
-     * fewest promises.
+     * Returns when a refused caller should retry: in the earliest time slot with room, or else in one with few
+     * promises.
      *
      * @param roomPerSecond retries per second that all routers together can serve
      * @param routers number of routers that share this room, including this one
@@ -99,26 +105,38 @@
         Promises promises = own.computeIfAbsent(service, s -> new Promises());
         decay(nowMs);
         double peerWeight = Math.min(1, (promises.recent + 1) / (ownRefusals + 1));
-        double knownPart = Math.min(1, knownRouters() / routers);
-        double roomPerSlot = Math.max(0, roomPerSecond) * knownPart * SLOT_MS / MS_PER_SECOND;
+        double ownPerSlot = Math.max(0, roomPerSecond) / routers * SLOT_MS / MS_PER_SECOND;
+        double knownPerSlot = ownPerSlot * Math.min(routers, knownRouters());
         long first = earliestMs / SLOT_MS;
         long last = Math.max(first, latestMs / SLOT_MS);
-        long best = first;
-        double fewest = Double.MAX_VALUE;
         for (long slot = first; slot <= last; slot++) {
-            double promised = promises.at(slot) + peerWeight * ofPeers.at(slot);
-            double room = Math.floor((slot + 1) * roomPerSlot + phase) - Math.floor(slot * roomPerSlot + phase);
-            if (promised + 1 <= room) {
-                best = slot;
-                break;
+            // The news of peers is some tens of ms old, so no router takes more than its own part of a time slot.
+            if (promises.at(slot) + 1 <= room(slot, ownPerSlot)
+                    && promisedAt(slot, promises, peerWeight) + 1 <= room(slot, knownPerSlot)) {
+                return timeIn(slot, earliestMs, latestMs);
             }
-            if (promised < fewest) {
+        }
+        long best = first + random.nextLong(last - first + 1);
+        for (int i = 1; i < CHOICES; i++) {
+            long slot = first + random.nextLong(last - first + 1);
+            if (promisedAt(slot, promises, peerWeight) < promisedAt(best, promises, peerWeight)) {
                 best = slot;
-                fewest = promised;
             }
         }
-        long withinSlotMs = best * SLOT_MS + random.nextLong(SLOT_MS);
-        return Math.max(earliestMs, Math.min(latestMs, withinSlotMs));
+        return timeIn(best, earliestMs, latestMs);
+    }
+
+    /** Room of a time slot in whole calls; the fractions add up over the time slots. */
+    private double room(long slot, double perSlot) {
+        return Math.floor((slot + 1) * perSlot + phase) - Math.floor(slot * perSlot + phase);
+    }
+
+    private double promisedAt(long slot, Promises promises, double peerWeight) {
+        return promises.at(slot) + peerWeight * ofPeers.at(slot);
+    }
+
+    private long timeIn(long slot, long earliestMs, long latestMs) {
+        return Math.max(earliestMs, Math.min(latestMs, slot * SLOT_MS + random.nextLong(SLOT_MS)));
     }
 
     /** Counts a retry that the caller of a refused call of this router was promised. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
@@ -17,6 +17,9 @@
      */
     private static final long MAX_FRACTION = 3;
 
+    /** Part of the longest delay that the wait for queued calls may take; retries are spread over the rest. */
+    private static final double MAX_WAIT_FRACTION = 0.75;
+
     private final RetryLedger ledger;
     private final QueueOrder order;
     /** Arrivals by service; how many precede a retry in some seconds follows from a long average. */
@@ -56,7 +59,7 @@
             long maxMs,
             long nowMs) {
         long latestMs = Math.min(maxMs, Math.max(0, call.responseDeadlineMs() - nowMs) / MAX_FRACTION);
-        long earliestMs = Math.min(latestMs, Math.max(minMs, waitMs));
+        long earliestMs = Math.min((long) (latestMs * MAX_WAIT_FRACTION), Math.max(minMs, waitMs));
         boolean onTime = service.canBeOnTime(call, nowMs + earliestMs);
         double roomPerSecond = demand.freedPerSecond(service, routers, nowMs)
                 - arrivals.computeIfAbsent(call.service(), s -> new LongRates())
