--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/HerdOfReturnsTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/fleet/HerdOfReturnsTest.java
@@ -22,9 +22,9 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Load pattern "herd of returns": a burst of 2.2 times for 5 s at 25 routers, in virtual time. Refused callers retry once
- * at a random router of their data centre when they were told to. The usual load is below what the engines
- * can serve; the burst is above it.
+ * Load pattern "herd of returns": a burst of 2.2 times for 5 s at 25 routers, in virtual time. Refused callers retry
+ * once, at a random router of their data centre, when they were told to. The usual load is below what the engines can
+ * serve; the burst is above it.
  */
 class HerdOfReturnsTest {
 
