--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -198,6 +198,7 @@
                     logEntry.aboveShare();
                     forwarder.metrics().event("refused.above_share");
                 }
+                end.retryScheduled(r.scheduled());
                 end.withoutTarget(r.reason().name().toLowerCase(java.util.Locale.ROOT), r.retryAfterMs());
             }
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -27,6 +27,9 @@
     private final CallLogEntry logEntry;
     private final long arrivedAtMs;
     private boolean quotaCharged;
+    /** Whether the retry delay of the refusal is chosen for this caller alone. */
+    private boolean retryScheduled;
+
     private long timerId = -1;
     private boolean finished;
 
@@ -62,6 +65,11 @@
         timerId = forwarder.vertx().setTimer(Math.max(1, delayMs), t -> action.run());
     }
 
+    /** Sets whether the retry delay of the refusal is chosen for this caller alone. */
+    void retryScheduled(boolean scheduled) {
+        retryScheduled = scheduled;
+    }
+
     /** Refuses a call that was not executed. */
     void refuse(String why, long retryAfterMs) {
         sendRefusal(503, why, retryAfterMs);
@@ -80,7 +88,8 @@
             forwarder.retryRecognition().refused(exchange.plan(), exchange.fingerprint(), retryAfterMs);
             recordForRepeats(retryAfterMs);
         }
-        caller.refuse(status, why, retryAfterMs);
+        logEntry.scheduledRetryMs = retryScheduled ? retryAfterMs : -1;
+        caller.refuse(status, why, retryAfterMs, retryScheduled);
         end("refused", why);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -104,7 +104,11 @@
         this.rollouts = new Rollouts(this, settings.rollouts());
         this.repeats = settings.contention().repeatLimits() ? Optional.of(RepeatLimits.create()) : Optional.empty();
         this.retryRecognition = new RetryRecognition(
-                vertx, settings.contention().retryRecognition(), m -> peers.sendToDataCentre(m), metrics);
+                vertx,
+                settings.contention().retryRecognition(),
+                m -> peers.sendToDataCentre(m),
+                metrics,
+                placement.retryLedger());
         this.peerDelegate = new PeerDelegate(
                 placement,
                 quotas,
@@ -275,6 +279,7 @@
                 .put("refusedRequests", retryRecognition.size())
                 .put("repeatRecords", repeats.map(RepeatLimits::size).orElse(0))
                 .put("readers", readers.dump())
+                .put("promisedRetries", promisedRetries())
                 .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
                 .put("routersKnown", peers.expectedRouters())
                 .put("routersHeardPart", peers.heardPart())));
@@ -291,6 +296,17 @@
         return out;
     }
 
+    /** Promised retries that are still to come, by service, and what other routers have told callers. */
+    private JsonObject promisedRetries() {
+        long nowMs = MonotonicClock.nowMs();
+        JsonObject out = new JsonObject();
+        placement.retryLedger().ifPresent(l -> {
+            out.put("own", new JsonObject(new HashMap<>(l.ownPromises(nowMs))));
+            out.put("peers", l.peerPromises(nowMs));
+        });
+        return out;
+    }
+
     private JsonObject shortCalls() {
         JsonObject out = new JsonObject();
         placement
