--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RepeatLimits.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RepeatLimits.java
@@ -30,7 +30,7 @@
 
     private final Map<Long, Refused> byKey = BoundedMap.dropOldest(MAX_REQUESTS);
 
-    /** Difference between the network delays of two attempts; the same request of another caller has another deadline. */
+    /** Difference between the network delays of two attempts; a larger one means another caller. */
     private static final long DEADLINE_TOLERANCE_MS = 100;
 
     /** A refused request: when its caller should retry and stops waiting, and how often it arrived early. */
