--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Mechanism.java
@@ -41,9 +41,7 @@
     /** Calls that can no longer be on time yield to calls of any rank that can. */
     ON_TIME_FIRST(true),
     /** Spreads long prompts, so that reading them does not pause the other streams of a target for too long. */
-    PROMPT_SPREADING(true),
-    /** Tells short disturbances of a target from its usual speed. */
-    CURRENT_PACE(true);
+    PROMPT_SPREADING(true);
 
     private final boolean optIn;
 
