Estimates of a later time keep reservations; long prompts wait for a bounded time

Both found by a review of the parts by another reader, in one file; each with a test that failed before. - The wait estimate of on-time-first asked whether a call can be on time after its wait by passing the later time, which removed slots that other groups had reserved until then (BorrowedSlotsTest.estimateKeepsReservedSlots: Wait instead of Send). - A long prompt waited for a target that had failed it or was unreachable, and shorter prompts could take a suitable target's slots until its deadline (PromptSpreadingTest: two cases, Wait instead of Send). It waits only while it can be on time, and only for targets that may take it.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
@@ -60,7 +60,7 @@
             long nowMs) {
         long latestMs = Math.min(maxMs, Math.max(0, call.responseDeadlineMs() - nowMs) / MAX_FRACTION);
         long earliestMs = Math.min((long) (latestMs * MAX_WAIT_FRACTION), Math.max(minMs, waitMs));
-        boolean onTime = service.canBeOnTime(call, nowMs + earliestMs);
+        boolean onTime = service.canBeOnTimeAfter(call, earliestMs, nowMs);
         double roomPerSecond = demand.freedPerSecond(service, routers, nowMs)
                 - arrivals.computeIfAbsent(call.service(), s -> new LongRates())
                         .before(order.firstRankBehind(call.rank(), onTime));
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -265,7 +265,7 @@
         WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
         boolean remainsOnTime = order == QueueOrder.RANK_FIRST
                 ? !call.isRepeat()
-                : targets.canBeOnTime(call, nowMs + estimate.waitMs());
+                : targets.canBeOnTimeAfter(call, estimate.waitMs(), nowMs);
         return remainsOnTime
                 ? estimate
                 : expectedWait(
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -209,7 +209,8 @@
     /**
      * Returns the target where the response is expected to end first, including the network cost. A target that does
      * not suit the call is used only if none suits it: a response that cannot complete in time holds a slot for long
-     * and is then cut off.
+     * and is then cut off. A call that can no longer be on time does not wait for a target that keeps its gaps, or
+     * shorter prompts could take that target's slots until its deadline.
      *
      * @param mayTake whether this router may take a free slot of a target
      */
@@ -220,8 +221,9 @@
         // Null while there are none, which is nearly always the case: this method runs for every call.
         List<Outlier> outliers = null;
         boolean anySuits = settings.uses(Mechanism.SUITABLE_TARGETS) && anySuits(call, nowMs, t -> true);
-        boolean spreadPrompts =
-                settings.uses(Mechanism.PROMPT_SPREADING) && anySuits(call, nowMs, t -> t.keepsGapsAlone(call));
+        boolean spreadPrompts = settings.uses(Mechanism.PROMPT_SPREADING)
+                && canBeOnTime(call, nowMs)
+                && anySuits(call, nowMs, t -> mayKeepGaps(t, call, nowMs));
         for (TargetState t : usableTargets(nowMs)) {
             if (!t.isAvailable(nowMs)
                     || call.avoid().contains(t.incarnation())
@@ -322,16 +324,21 @@
         return false;
     }
 
-    /** Whether the first byte of a call would be on time if it were sent now. A repeat yields like a late call. */
+    /** Whether the first byte of a call would be on time if it were sent now. */
     boolean canBeOnTime(Call call, long nowMs) {
+        return canBeOnTimeAfter(call, 0, nowMs);
+    }
+
+    /** Whether the first byte of a call would be on time if it were sent after a wait. A repeat counts as late. */
+    boolean canBeOnTimeAfter(Call call, long waitMs, long nowMs) {
         if (call.isRepeat()) {
             return false;
         }
         double factor = settings.uses(Mechanism.PLANNED_RETURNS) ? margin.factor() : 1;
         for (TargetState t : usableTargets(nowMs)) {
             if (t.takesCalls()
-                    && !t.health().refusesCalls(nowMs)
-                    && nowMs + factor * t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
+                    && !t.health().refusesCalls(nowMs + waitMs)
+                    && nowMs + waitMs + factor * t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
                 return true;
             }
         }
@@ -355,6 +362,12 @@
         return false;
     }
 
+    private static boolean mayKeepGaps(TargetState target, Call call, long nowMs) {
+        return target.keepsGapsAlone(call)
+                && !call.avoid().contains(target.incarnation())
+                && !target.health().paused(nowMs);
+    }
+
     /** Whether a call may be sent to only some of this group's targets. */
     boolean restrictsTargets(Call call, long nowMs) {
         for (TargetState t : ownTargets) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -298,7 +298,8 @@
 
     /**
      * Whether the streams of this target would keep their gaps within {@code SAFE_GAP_FRACTION} of what a call allows
-     * while it reads the prompt of the call and those that are queued before it.
+     * while it reads the prompt of the call and those that are queued before it. The bounds of the other streams are
+     * not known here; a call without a bound suits any target.
      */
     boolean keepsGaps(Call call) {
         return keepsGaps(call, ownPrefillTokens + peerPrefillTokens);
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/BorrowedSlotsTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/BorrowedSlotsTest.java
@@ -287,6 +287,40 @@
         }
     }
 
+    @Nested
+    class CallsThatCanBeOnTimeFirst {
+
+        /** Guards against an estimate of a later time that drops the slots which are reserved now. */
+        @Test
+        void estimateKeepsReservedSlots() {
+            PlacementSettings settings = PlacementSettings.defaults().with(Set.of(Mechanism.ON_TIME_FIRST));
+            Placement p = Placement.create(id(0), dataCentre(0), settings, (peer, target) -> {});
+            IntStream.range(0, TARGETS)
+                    .forEach(t -> p.targetSeen(
+                            new Target("t" + t, 0, SERVICE, "", "10.0.0.1", 80, dataCentre(t), SLOTS, true, 0)));
+            for (int peer = 1; peer < ROUTERS; peer++) {
+                p.routerSeen(id(peer), dataCentre(peer));
+                p.peerUses(id(peer), Map.of());
+            }
+            p.peerUses(
+                    id(3),
+                    Map.of(
+                            "t0", new TargetUse(SLOTS, 0),
+                            "t3", new TargetUse(SLOTS, 0),
+                            "t6", new TargetUse(SLOTS, 0)));
+            assertThat(p.canSendNow(call(), nowMs), is(false));
+            p.slotReserved("t1", nowMs);
+            Call elsewhere = Call.of(SERVICE, nowMs)
+                    .times(nowMs + 500, nowMs + 1)
+                    .avoid(Set.of("t1"))
+                    .build();
+            assertThat(p.submit(elsewhere, nowMs), instanceOf(Verdict.Refuse.class));
+            Verdict next = p.submit(call(), nowMs);
+            assertThat(next, instanceOf(Verdict.Send.class));
+            assertThat(((Verdict.Send) next).target().incarnation(), is("t1"));
+        }
+    }
+
     /** A small fleet has a single group, so nothing is borrowed. */
     @Test
     void smallFleetDoesNotBorrow() {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PromptSpreadingTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/PromptSpreadingTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
@@ -83,6 +84,28 @@
             assertThat(targetOf(placement.pump(210).getFirst()), is("fast"));
         }
 
+        /** Guards against a long prompt whose target's slots all go to short ones until its deadline. */
+        @Test
+        void longPromptThatTurnsLateTakesAnyTarget() {
+            placement.peerUses("r2", Map.of("fast", new TargetUse(SLOTS, 0)));
+            placement.submit(call(LONG_PROMPT_TOKENS), 0);
+            assertThat(placement.pump(100), is(empty()));
+            assertThat(targetOf(placement.pump(590).getFirst()), is("slow"));
+        }
+
+        /** Guards against a call that waits for a target which it must not be sent to again. */
+        @Test
+        void longPromptDoesNotWaitForATargetThatHasFailedIt() {
+            Call again = Call.of(SERVICE, 0)
+                    .times(600, 2_000)
+                    .responseDeadline(10_000)
+                    .gapTarget(GAP_TARGET_MS)
+                    .work(LONG_PROMPT_TOKENS, 30)
+                    .avoid(Set.of("fast"))
+                    .build();
+            assertThat(targetOf(placement.submit(again, 0)), is("slow"));
+        }
+
         /** Guards against a prompt that is never sent because it is too long for every target. */
         @Test
         void promptThatSuitsNoTargetIsSentAnyway() {
