Retry recognition: nothing is kept where it is off; a changed data centre keeps the link

Found by the review: a router with recognition off recorded what others sent (RetryRecognitionTest failed before: 1 instead of 0); a failed send would have stopped the sharing; a peer's changed data centre closed its link, also with recognition off. Precedence of late calls is above all ranks up to 2^29. OnTimeFirstTest now fails without the mechanism.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/QueueOrder.java
@@ -13,8 +13,8 @@
      */
     ON_TIME_FIRST;
 
-    /** Greater than the precedence of any call that can be on time. */
-    private static final int LATE = 1 << 24;
+    /** Greater than the precedence of any call that can be on time, with ranks up to 2^29. */
+    private static final int LATE = 1 << 30;
 
     /** Returns the order that the settings ask for. */
     static QueueOrder of(PlacementSettings settings) {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/OnTimeFirstTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/OnTimeFirstTest.java
@@ -49,6 +49,19 @@
         return placement.pump(NOW_MS).getFirst().call();
     }
 
+    /** Submits a late call of the urgent rank that would wait long after the arrivals of the other rank. */
+    private static Verdict submitLateCallAfterArrivals(Placement placement) {
+        for (long ms = NOW_MS - 200; ms < NOW_MS; ms += 10) {
+            placement.submit(call(1, ms, 5_000), ms);
+        }
+        Call late = Call.of(SERVICE, NOW_MS)
+                .rank(0, true)
+                .times(NOW_MS - 1, NOW_MS + 2_000)
+                .work(100, 2)
+                .build();
+        return placement.submit(late, NOW_MS);
+    }
+
     @Nested
     class SwitchedOn {
 
@@ -79,15 +92,7 @@
         /** Guards against callers that wait in vain, since every arrival overtakes a late call. */
         @Test
         void callThatWillBeLateIsRefusedOnArrivalWhileOthersKeepArriving() {
-            for (long ms = NOW_MS - 2_000; ms < NOW_MS; ms += 20) {
-                placement.submit(call(1, ms, 400), ms);
-            }
-            Call late = Call.of(SERVICE, NOW_MS)
-                    .rank(1, true)
-                    .times(NOW_MS - 1, NOW_MS + 1_000)
-                    .work(100, 2)
-                    .build();
-            assertThat(placement.submit(late, NOW_MS), instanceOf(Verdict.Refuse.class));
+            assertThat(submitLateCallAfterArrivals(placement), instanceOf(Verdict.Refuse.class));
         }
     }
 
@@ -104,5 +109,12 @@
             placement.submit(late, NOW_MS);
             assertThat(nextSent(placement, running.get(0)), is(late));
         }
+
+        @Test
+        void lateCallWaitsForItsTurn() {
+            Placement placement = placement(false);
+            fill(placement);
+            assertThat(submitLateCallAfterArrivals(placement), instanceOf(Verdict.Wait.class));
+        }
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerLink.java
@@ -36,7 +36,7 @@
 
     private final String routerId;
     private final HostPort address;
-    private final String dataCentre;
+    private String dataCentre;
     private final Runnable onRefused;
     private PeerConnection connection;
     private long connectedAtMs;
@@ -76,6 +76,10 @@
         return dataCentre;
     }
 
+    void dataCentre(String current) {
+        dataCentre = current;
+    }
+
     boolean connected() {
         return connection != null;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
@@ -83,15 +83,19 @@
 
     private void sendUnsent() {
         long nowMs = MonotonicClock.nowMs();
-        sendToDataCentre.accept(new PeerMessage.RefusedRequests(unsent.stream()
+        List<PeerMessage.RefusedRequest> requests = unsent.stream()
                 .map(r -> new PeerMessage.RefusedRequest(
                         r.key(), nowMs - r.firstArrivalMs(), r.deadlineMs() - nowMs, r.retryAtMs() - nowMs))
-                .toList()));
+                .toList();
         unsent.clear();
+        sendToDataCentre.accept(new PeerMessage.RefusedRequests(requests));
     }
 
     /** Records the refusals of another router. */
     void receive(PeerMessage.RefusedRequests message) {
+        if (!enabled) {
+            return;
+        }
         long nowMs = MonotonicClock.nowMs();
         message.requests().forEach(r -> {
             refused.add(new Refusal(
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -156,9 +156,8 @@
         }
         delegate.onRouterJoined(routerId, dataCentre);
         PeerLink existing = links.get(routerId);
-        if (existing != null
-                && existing.address().equals(address)
-                && existing.dataCentre().equals(dataCentre)) {
+        if (existing != null && existing.address().equals(address)) {
+            existing.dataCentre(dataCentre);
             return;
         }
         if (existing != null) {
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RetryRecognitionTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/RetryRecognitionTest.java
@@ -109,5 +109,18 @@
             assertThat(refusalsKnownTo(first), is(0));
             assertThat(refusalsKnownTo(second), is(0));
         }
+
+        /** Guards against a record that grows at a router which does not use it. */
+        @Test
+        void routerKeepsNothingThatOthersTellIt() {
+            dataCentres[2] = "here";
+            start(0, true);
+            ForwardingNode off = start(1, false);
+            ForwardingNode on = start(2, true);
+            Conditions.await(() -> isConnected(off) && isConnected(on), TIMEOUT_MS);
+            assertThat(call(0, DEADLINE_MS), is(503));
+            Conditions.await(() -> refusalsKnownTo(on) == 1, TIMEOUT_MS);
+            assertThat(refusalsKnownTo(off), is(0));
+        }
     }
 }
