Call log: resumed streams, what began them, and the version of the target

The line of a call did not tell a stream that its caller takes up from a new one, nor any target's version, so the hypotheses of the incident could not be told apart. Nothing is decided by them yet.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallHead.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallHead.java
@@ -9,6 +9,7 @@
  * @param apiKey the API key, if any
  * @param deadlineMs how long the caller will wait from now
  * @param lastEventId id of the last event received when a broken stream is resumed
+ * @param originAttemptId the caller's id of the attempt that brought the first event of a resumed stream
  * @param promptTokens number of prompt tokens; 0 if not given
  * @param maxOutputTokens maximum number of tokens to generate; 0 if not given
  * @param expectedOutputTokens number of tokens that the caller expects; 0 if not given
@@ -18,6 +19,7 @@
         Optional<String> apiKey,
         long deadlineMs,
         Optional<String> lastEventId,
+        Optional<String> originAttemptId,
         long promptTokens,
         long maxOutputTokens,
         long expectedOutputTokens) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -23,6 +23,8 @@
     RequestFingerprint fingerprint = RequestFingerprint.NONE;
 
     String target = "";
+    /** Software version of the target, as registered when the call was sent. */
+    String targetVersion = "";
     /** Known number of calls at the target when the call was last sent there, including this one. */
     int targetCalls;
 
@@ -118,7 +120,7 @@
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
                         + " deadlineMs=%d promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " target=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
+                        + " resumedAfter=%s originAttempt=%s target=%s targetVersion=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d scheduledRetryMs=%d troubles=\"%s\"",
                 requestId,
@@ -133,7 +135,10 @@
                 plan == null ? -1 : plan.head().promptTokens(),
                 plan == null ? -1 : plan.head().maxOutputTokens(),
                 plan == null ? -1 : plan.head().expectedOutputTokens(),
+                plan == null ? "" : plan.head().lastEventId().orElse(""),
+                plan == null ? "" : plan.head().originAttemptId().orElse(""),
                 target,
+                targetVersion,
                 targetCalls,
                 limitPerSecond,
                 targetLeaving,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -236,6 +236,7 @@
         }
         logEntry.sends = history.sendCount();
         logEntry.target = target.info().id();
+        logEntry.targetVersion = target.info().version();
         plan.outgoing(target.info().id(), stream.resumeAfter()).write(request, forwarder.protocol(), options);
         return true;
     }
@@ -433,7 +434,11 @@
     private void recordBrokenAttempt(Attempt a, String why) {
         history.markExecuted();
         history.exclude(a.target());
-        logEntry.addTrouble(a.target().info().id(), why);
+        String version = a.target().info().version();
+        String progress = stream.events() == 0
+                ? ""
+                : " after event " + stream.resumeAfter().orElse("");
+        logEntry.addTrouble(a.target().info().id() + " " + version, why + progress);
         forwarder.metrics().event("sends.broken");
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
@@ -36,6 +36,8 @@
     static final String LEAVING = "X-Onyx-Leaving";
 
     private static final String LAST_EVENT_ID = "Last-Event-ID";
+    /** The caller's id of the attempt that brought the first event of the stream that it resumes. */
+    static final String RESUMES = "X-Onyx-Resumes";
 
     /** For callers that give no deadline; their route's timeout is usually shorter. */
     private static final long DEFAULT_DEADLINE_MS = 60_000;
@@ -59,6 +61,7 @@
                     Optional.ofNullable(headers.get(API_KEY)),
                     number(headers, DEADLINE_MS, DEFAULT_DEADLINE_MS),
                     Optional.ofNullable(headers.get(LAST_EVENT_ID)),
+                    Optional.ofNullable(headers.get(RESUMES)),
                     number(headers, PROMPT_TOKENS, 0),
                     number(headers, MAX_OUTPUT_TOKENS, 0),
                     number(headers, EXPECTED_OUTPUT_TOKENS, 0)));
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
@@ -71,7 +71,7 @@
                 List.of(route),
                 List.of(new TargetService("mailroom", 1, false)),
                 List.of(workspace));
-        CallHead head = new CallHead("c", Optional.of("k1"), 1_000, Optional.empty(), 0, 0, 0);
+        CallHead head = new CallHead("c", Optional.of("k1"), 1_000, Optional.empty(), Optional.empty(), 0, 0, 0);
         return CallPlan.of(new CallCheck.Allowed(head, config, route, Optional.of(workspace)), NOW_MS, 0);
     }
 
