--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -120,7 +120,8 @@
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
                         + " deadlineMs=%d promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " resumedAfter=%s originAttempt=%s target=%s targetVersion=%s targetCalls=%d limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
+                        + " resumedAfter=%s originAttempt=%s target=%s targetVersion=%s targetCalls=%d"
+                        + " limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d scheduledRetryMs=%d troubles=\"%s\"",
                 requestId,
