A stream that its target breaks off is continued by the same version only

What callers saw: one answer that held events of two software versions. Ruled out for these: a late registry, since the versions in the lines are those of the operator's log.

Now the version that produced what the caller has received belongs to the call: only its targets are used. If none is left, also because the one that failed was the last, the answer is cut off at once, and a refusal names no time. The wait of such a call is estimated from the slots of its version; calls that find no slot don't hold it up, and new calls leave its version's slots to it while others are free. A stream of which nothing has reached the caller begins again at any version, as before.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Admission.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Admission.java
@@ -68,6 +68,8 @@
 
     /** Refuses a call because no target of its service accepts calls. */
     static Verdict.Refuse refuseWithoutTarget(Call call) {
-        return new Verdict.Refuse(call, Verdict.Reason.NO_TARGET, NO_TARGET_RETRY_AFTER_MS, false, Optional.empty());
+        // A version that has no target left may never have one again.
+        long retryMs = call.version().isPresent() ? 0 : NO_TARGET_RETRY_AFTER_MS;
+        return new Verdict.Refuse(call, Verdict.Reason.NO_TARGET, retryMs, false, Optional.empty());
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Call.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.core.place;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -20,6 +21,7 @@
     private final long gapTargetMs;
     private final long promptTokens;
     private final long outputEvents;
+    private final Optional<String> version;
     private final Set<String> avoid = new HashSet<>();
     private int queuedRank;
 
@@ -36,6 +38,7 @@
         this.gapTargetMs = b.gapTargetMs;
         this.promptTokens = b.promptTokens;
         this.outputEvents = b.outputEvents;
+        this.version = b.version;
         this.avoid.addAll(b.avoid);
     }
 
@@ -108,6 +111,11 @@
         return outputEvents;
     }
 
+    /** The version that began the stream which the call continues; empty if any version may run the call. */
+    public Optional<String> version() {
+        return version;
+    }
+
     /** Incarnations of targets that this call must not be sent to again. */
     public Set<String> avoid() {
         return avoid;
@@ -128,6 +136,7 @@
         private long gapTargetMs;
         private long promptTokens;
         private long outputEvents;
+        private Optional<String> version = Optional.empty();
 
         private Builder(String service, long arrivedAtMs) {
             this.service = service;
@@ -180,6 +189,12 @@
             return this;
         }
 
+        /** Sets the version that began the stream which the call continues; empty for a call that begins. */
+        public Builder version(Optional<String> began) {
+            version = began;
+            return this;
+        }
+
         /** Adds incarnations of targets that the call must not be sent to. */
         public Builder avoid(Set<String> incarnations) {
             avoid.addAll(incarnations);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -214,13 +214,14 @@
     /** Handles an arriving call: it is sent, queued or refused. */
     public Verdict submit(Call call, long nowMs) {
         ServiceTargets service = targets.of(call.service());
-        if (service == null || !service.anyTakesCalls()) {
+        if (service == null || !service.anyTakes(call)) {
             return Admission.refuseWithoutTarget(call);
         }
         ServiceDemand demand = demand(call.service());
         int rank = demand.arrived(call, nowMs);
         admission.arrived(service, demand, nowMs);
         WaitingCalls queue = demand.waiting();
+        service.awaitedVersions(queue.awaitedVersions());
         if (!demand.anyAhead(call, rank, service, nowMs)) {
             int precedence = demand.precedence(call, rank, service, nowMs);
             Optional<TargetState> free = slots.slotFor(service, demand, call, precedence, nowMs);
@@ -332,17 +333,26 @@
             demand.refused(call, nowMs);
             out.add(admission.refuse(call, Verdict.Reason.WAITED, estimate, service, demand, nowMs));
         }
-        if (queue.isEmpty() || !service.anyAvailable(nowMs)) {
+        for (Call call : queue.removeMatching(c -> c.version().isPresent() && !service.anyTakes(c))) {
+            demand.refused(call, nowMs);
+            out.add(Admission.refuseWithoutTarget(call));
+        }
+        service.awaitedVersions(queue.awaitedVersions());
+        if (queue.isEmpty() || !service.anyAvailable(nowMs) && !service.anyVersionAwaited()) {
             return;
         }
+        boolean noSlotLeft = false;
         for (WaitingCalls.OrderedCall turn : queue.inOrder(c -> service.canBeOnTime(c, nowMs))) {
             Call call = turn.entry().call();
+            if (noSlotLeft && call.version().isEmpty()) {
+                continue;
+            }
             Optional<TargetState> free = slots.slotFor(service, demand, call, turn.precedence(), nowMs);
             if (free.isPresent()) {
                 queue.remove(call);
                 out.add(send(call, free.get(), nowMs));
             } else if (!service.restrictsTargets(call, nowMs)) {
-                return;
+                noSlotLeft = true;
             }
         }
     }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 
@@ -262,13 +263,14 @@
      */
     WaitEstimate expectedWait(Call call, int rank, ServiceTargets targets, int routers, long nowMs) {
         int onTime = order.precedence(rank, true, isAboveShare(call));
-        WaitEstimate estimate = expectedWait(onTime, rank, targets, routers, nowMs);
+        WaitEstimate estimate = expectedWait(call, onTime, rank, targets, routers, nowMs);
         boolean remainsOnTime = order == QueueOrder.RANK_FIRST
                 ? !call.isRepeat()
                 : targets.canBeOnTimeAfter(call, estimate.waitMs(), nowMs);
         return remainsOnTime
                 ? estimate
                 : expectedWait(
+                        call,
                         order.precedence(rank, false, false),
                         order == QueueOrder.RANK_FIRST ? rank + 1 : ALL_RANKS,
                         targets,
@@ -277,11 +279,13 @@
     }
 
     /**
-     * Estimates the wait of a call with a precedence.
+     * Estimates the wait of a call with a precedence. A call that continues a stream competes for the slots of one
+     * version only, with all that wait for the same version and with its part of the others.
      *
      * @param rank arrivals of more urgent ranks than this one precede the call
      */
-    private WaitEstimate expectedWait(int precedence, int rank, ServiceTargets targets, int routers, long nowMs) {
+    private WaitEstimate expectedWait(
+            Call call, int precedence, int rank, ServiceTargets targets, int routers, long nowMs) {
         ServiceRates own = rates(nowMs);
         double unreportedRouters = routers - peerRates.size();
         double freedPerSecond = own.freed() * unreportedRouters;
@@ -290,15 +294,19 @@
             freedPerSecond += r.freed();
             urgentPerSecond += r.arrivedBefore(rank);
         }
-        int ahead = waiting.ahead(precedence, c -> targets.canBeOnTime(c, nowMs));
+        Predicate<Call> onTime = c -> targets.canBeOnTime(c, nowMs);
+        Predicate<Call> sameTargets = c -> c.version().equals(call.version());
+        int aheadForSame = waiting.ahead(precedence, onTime, sameTargets);
+        int aheadForOthers = waiting.ahead(precedence, onTime, sameTargets.negate());
         for (PeerDemand d : peers.values()) {
-            ahead += d.waitingUpTo(precedence);
+            aheadForOthers += d.waitingUpTo(precedence);
         }
+        double part = targets.slotFraction(call, nowMs);
         return WaitEstimate.of(
-                targets.refusedForMs(nowMs),
-                ahead,
-                Math.max(freedPerSecond, fullTurnoverPerSecond(targets, nowMs)),
-                urgentPerSecond);
+                targets.refusedForMs(call, nowMs),
+                aheadForSame + (int) Math.round(part * aheadForOthers),
+                part * Math.max(freedPerSecond, fullTurnoverPerSecond(targets, nowMs)),
+                part * urgentPerSecond);
     }
 
     /** Rate at which slots are freed while all are in use. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.onyxhinge.core.admit.FirstByteMargin;
 
@@ -62,6 +63,9 @@
     /** Targets of other groups with a slot that is, or recently was, reserved for this router. */
     private final Set<TargetState> borrowedTargets = new LinkedHashSet<>();
 
+    /** Versions that queued calls need; other calls use their targets only if no others are free. */
+    private Set<String> awaitedVersions = Set.of();
+
     private boolean shared = true;
     private boolean assigned;
     private long assignedAtVersion;
@@ -189,6 +193,62 @@
         return out;
     }
 
+    /** Targets that may get a call by their role and version, and whose slots this router may take. */
+    private List<TargetState> usableTargets(Call call, long nowMs) {
+        return call.version().isEmpty() ? usableTargets(nowMs) : targetsThatContinue(call, nowMs);
+    }
+
+    /**
+     * Targets that can continue the stream of a call; those of other groups only if this router's group has none, or if
+     * a slot is reserved there.
+     */
+    private List<TargetState> targetsThatContinue(Call call, long nowMs) {
+        List<TargetState> all = targets.stream().filter(t -> t.takes(call)).toList();
+        List<TargetState> own = all.stream()
+                .filter(t -> t.ownership() != TargetState.Owners.OTHER_GROUP || t.isReservedForSelf(nowMs))
+                .toList();
+        return own.isEmpty() ? all : own;
+    }
+
+    /** Fraction of the slots of the service that a call can use. */
+    double slotFraction(Call call, long nowMs) {
+        if (call.version().isEmpty()) {
+            return 1;
+        }
+        long usable = slots(targetsThatContinue(call, nowMs));
+        return usable == 0 ? 1 : (double) usable / Math.max(usable, slots(ownTargets));
+    }
+
+    private static long slots(List<TargetState> some) {
+        return some.stream().mapToLong(t -> t.info().slots()).sum();
+    }
+
+    /** Sets the versions that queued calls need because they continue streams. */
+    void awaitedVersions(Set<String> versions) {
+        awaitedVersions = versions;
+    }
+
+    boolean anyVersionAwaited() {
+        return !awaitedVersions.isEmpty();
+    }
+
+    /** Whether a target is better left to queued calls that need its version. */
+    private boolean isAwaitedByOthers(TargetState t, Call call) {
+        return call.version().isEmpty()
+                && !awaitedVersions.isEmpty()
+                && awaitedVersions.contains(t.info().version());
+    }
+
+    /**
+     * Whether any target may get a call by its role and version, now or later. A call that continues a stream does not
+     * wait for a new target of its version, since there may never be one.
+     */
+    boolean anyTakes(Call call) {
+        return targets.stream()
+                .anyMatch(t -> t.takes(call)
+                        && (call.version().isEmpty() || !call.avoid().contains(t.incarnation())));
+    }
+
     MovingAverage gapMs() {
         return gapMs;
     }
@@ -218,14 +278,16 @@
         TargetState best = null;
         double bestCost = Double.MAX_VALUE;
         double meanFailures = meanFailureRate();
+        TargetState bestAwaited = null;
+        double bestAwaitedCost = Double.MAX_VALUE;
         // Null while there are none, which is nearly always the case: this method runs for every call.
         List<Outlier> outliers = null;
         boolean anySuits = settings.uses(Mechanism.SUITABLE_TARGETS) && anySuits(call, nowMs, t -> true);
         boolean spreadPrompts = settings.uses(Mechanism.PROMPT_SPREADING)
                 && canBeOnTime(call, nowMs)
                 && anySuits(call, nowMs, t -> mayKeepGaps(t, call, nowMs));
-        for (TargetState t : usableTargets(nowMs)) {
-            if (!t.isAvailable(nowMs)
+        for (TargetState t : usableTargets(call, nowMs)) {
+            if (!t.isAvailable(call, nowMs)
                     || call.avoid().contains(t.incarnation())
                     || anySuits && !t.suits(call, nowMs)
                     || spreadPrompts && !t.keepsGaps(call)
@@ -233,7 +295,10 @@
                 continue;
             }
             double cost = t.limit().filter(l -> l.needsProbe(nowMs)).isPresent() ? 0 : cost(call, t);
-            if (isOutlier(t, meanFailures)) {
+            if (isAwaitedByOthers(t, call)) {
+                bestAwaited = cost < bestAwaitedCost ? t : bestAwaited;
+                bestAwaitedCost = Math.min(cost, bestAwaitedCost);
+            } else if (isOutlier(t, meanFailures)) {
                 outliers = outliers == null ? new ArrayList<>() : outliers;
                 outliers.add(new Outlier(t, cost));
             } else if (cost < bestCost) {
@@ -241,7 +306,10 @@
                 bestCost = cost;
             }
         }
-        return outliers == null ? Optional.ofNullable(best) : Optional.of(bestOf(best, bestCost, outliers));
+        if (best == null && outliers == null) {
+            return Optional.ofNullable(bestAwaited);
+        }
+        return outliers == null ? Optional.of(best) : Optional.of(bestOf(best, bestCost, outliers));
     }
 
     /** An available target that fails too often, with the cost of a call there before the penalty. */
@@ -335,8 +403,8 @@
             return false;
         }
         double factor = settings.uses(Mechanism.PLANNED_RETURNS) ? margin.factor() : 1;
-        for (TargetState t : usableTargets(nowMs)) {
-            if (t.takesCalls()
+        for (TargetState t : usableTargets(call, nowMs)) {
+            if (t.takes(call)
                     && !t.health().refusesCalls(nowMs + waitMs)
                     && nowMs + waitMs + factor * t.firstByteMs(call) <= call.firstByteDeadlineMs()) {
                 return true;
@@ -350,8 +418,8 @@
      * for now, do not count: calls do not wait for a target that accepts only a few per second, or none.
      */
     private boolean anySuits(Call call, long nowMs, Predicate<TargetState> condition) {
-        for (TargetState t : ownTargets) {
-            if (t.takesCalls()
+        for (TargetState t : call.version().isEmpty() ? ownTargets : targetsThatContinue(call, nowMs)) {
+            if (t.takes(call)
                     && t.limit().isEmpty()
                     && !t.health().refusesCalls(nowMs)
                     && t.suits(call, nowMs)
@@ -370,6 +438,9 @@
 
     /** Whether a call may be sent to only some of this group's targets. */
     boolean restrictsTargets(Call call, long nowMs) {
+        if (call.version().isPresent()) {
+            return true;
+        }
         for (TargetState t : ownTargets) {
             if (t.takesCalls()
                     && (call.avoid().contains(t.incarnation())
@@ -402,14 +473,19 @@
      * reasons than their refusals.
      */
     long refusedForMs(long nowMs) {
-        return ownTargets.stream()
-                .filter(TargetState::takesCalls)
-                .mapToLong(t -> Math.max(0, t.health().refusesUntilMs() - nowMs))
-                .min()
-                .orElse(0);
+        return refusedForMs(ownTargets.stream().filter(TargetState::takesCalls), nowMs);
     }
 
-    boolean anyTakesCalls() {
-        return targets.stream().anyMatch(TargetState::takesCalls);
+    /** Like {@link #refusedForMs(long)}, for the targets that a call can use. */
+    long refusedForMs(Call call, long nowMs) {
+        return call.version().isEmpty()
+                ? refusedForMs(nowMs)
+                : refusedForMs(targetsThatContinue(call, nowMs).stream(), nowMs);
+    }
+
+    private static long refusedForMs(Stream<TargetState> some, long nowMs) {
+        return some.mapToLong(t -> Math.max(0, t.health().refusesUntilMs() - nowMs))
+                .min()
+                .orElse(0);
     }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/SlotSharing.java
@@ -75,7 +75,7 @@
 
     private Predicate<TargetState> mayTake(ServiceTargets service, ServiceDemand demand, Call call, long nowMs) {
         long propagationDelayMs = fleet.propagationDelayMs(service, demand.anyPeerHasWaitingCalls());
-        return t -> mayTake(t, t.lastByteMs(call), propagationDelayMs, nowMs);
+        return t -> t.takesGuest(call, nowMs) || mayTake(t, t.lastByteMs(call), propagationDelayMs, nowMs);
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -173,19 +173,39 @@
         return changed;
     }
 
-    /** Whether any call may be placed on it. */
+    /** Whether calls that begin may be placed on it. */
     public boolean takesCalls() {
         return isReady() && role == TargetRole.SERVING;
     }
 
+    /** Whether a call may be placed on it, leaving aside calls of a trial. */
+    boolean takes(Call call) {
+        if (call.version().isEmpty()) {
+            return takesCalls();
+        }
+        return takesCalls() && info.version().equals(call.version().get());
+    }
+
+    /**
+     * Whether a call that continues a stream may take a slot here although another group uses the target. The group's
+     * routers do not plan with such calls, so there is only one at a time.
+     */
+    boolean takesGuest(Call call, long nowMs) {
+        return call.version().isPresent()
+                && ownership == Owners.OTHER_GROUP
+                && ownCalls == 0
+                && takes(call)
+                && !health.paused(nowMs);
+    }
+
     /** Whether it runs a version on trial and calls of the trial may be placed on it. */
     boolean takesTrialCalls() {
         return isReady() && role == TargetRole.TRIAL;
     }
 
     /** Whether a call that was placed on it may still be sent. */
-    public boolean acceptsSends(long nowMs) {
-        return isReady() && role != TargetRole.WITHHELD && !health.refusesCalls(nowMs);
+    public boolean acceptsSends(Call call, long nowMs) {
+        return (takes(call) || takesTrialCalls()) && !health.refusesCalls(nowMs);
     }
 
     /** Which calls it gets. */
@@ -257,6 +277,11 @@
         return takesCalls() && hasRoom(nowMs);
     }
 
+    /** Whether a call may be placed on it and there is a slot for it. */
+    boolean isAvailable(Call call, long nowMs) {
+        return takes(call) && (hasRoom(nowMs) || takesGuest(call, nowMs));
+    }
+
     /** Whether the health of the target and its free slots allow a call now. */
     boolean hasRoom(long nowMs) {
         if (health.paused(nowMs)) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -72,6 +74,18 @@
         return calls.isEmpty();
     }
 
+    /** The versions that queued calls need because they continue streams. */
+    Set<String> awaitedVersions() {
+        Set<String> out = Set.of();
+        for (Entry e : calls) {
+            if (e.call().version().isPresent()) {
+                out = out.isEmpty() ? new HashSet<>() : out;
+                out.add(e.call().version().get());
+            }
+        }
+        return out;
+    }
+
     /** Number of calls per {@link Precedence}. */
     Map<Integer, Integer> countByPrecedence(Predicate<Call> onTime) {
         Map<Integer, Integer> out = new HashMap<>();
@@ -130,9 +144,18 @@
      * @param precedence precedence of the new call
      */
     int ahead(int precedence, Predicate<Call> onTime) {
+        return ahead(precedence, onTime, c -> true);
+    }
+
+    /**
+     * Number of some calls that precede a new call.
+     *
+     * @param which the calls that are counted
+     */
+    int ahead(int precedence, Predicate<Call> onTime, Predicate<Call> which) {
         int n = 0;
         for (Entry e : calls) {
-            n += precedence(e, onTime) <= precedence ? 1 : 0;
+            n += which.test(e.call()) && precedence(e, onTime) <= precedence ? 1 : 0;
         }
         return n;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -141,7 +141,7 @@
             return;
         }
         RequestOptions options = new RequestOptions();
-        if (!target.acceptsSends(MonotonicClock.nowMs()) || !owner.prepare(options, target)) {
+        if (!target.acceptsSends(call, MonotonicClock.nowMs()) || !owner.prepare(options, target)) {
             forwarder.connections().release(c, null);
             connection = null;
             endNotSent("call ended before it was sent");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -94,8 +94,14 @@
      *     its deadline
      * @param expectedEvents expected number of events in the response
      * @param repeat whether the caller repeats the request before the time it was told
+     * @param version the version that must continue the stream; empty for any
      */
-    Call call(Set<String> excluded, boolean responseBegun, long expectedEvents, boolean repeat) {
+    Call call(
+            Set<String> excluded,
+            boolean responseBegun,
+            long expectedEvents,
+            boolean repeat,
+            Optional<String> version) {
         boolean model = config.service(service).map(TargetService::modelEngine).orElse(false);
         return Call.of(service, arrivedAtMs)
                 .workspace(workspace.map(WorkspaceAccess::name).orElse(""))
@@ -108,6 +114,7 @@
                 .gapTarget(route.gapTargetMs())
                 .work(model ? head.promptTokens() : 0, model ? expectedEvents : 0)
                 .avoid(excluded)
+                .version(version)
                 .build();
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -171,7 +171,7 @@
         long events = forwarder
                 .lengths()
                 .expectedEvents(plan.route().name(), plan.head().expectedOutputTokens());
-        return plan.call(excluded, caller.headSent(), events, repeated);
+        return plan.call(excluded, caller.headSent(), events, repeated, stream.version());
     }
 
     /** Carries out the placement's decision about this request's call. */
@@ -237,6 +237,7 @@
         logEntry.sends = history.sendCount();
         logEntry.target = target.info().id();
         logEntry.targetVersion = target.info().version();
+        stream.sentTo(target.info().version());
         plan.outgoing(target.info().id(), stream.resumeAfter()).write(request, forwarder.protocol(), options);
         return true;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamProgress.java
@@ -14,6 +14,8 @@
     private long lastEventAtMs;
     private long longestGapMs;
     private int events;
+    private String sentToVersion = "";
+    private Optional<String> version = Optional.empty();
 
     /** Id of the last event that the caller received; another target continues after it. */
     Optional<String> resumeAfter() {
@@ -24,6 +26,21 @@
         resumeAfter = eventId;
     }
 
+    /** The version that produced what the caller has received; empty while that is nothing. */
+    Optional<String> version() {
+        return version;
+    }
+
+    /** Sets the version that produced what the caller has received in earlier attempts. */
+    void beganAt(String began) {
+        version = Optional.of(began);
+    }
+
+    /** Records the version of the target that the stream is sent to. */
+    void sentTo(String targetVersion) {
+        sentToVersion = targetVersion;
+    }
+
     /** Number of events sent to the caller. */
     int events() {
         return events;
@@ -58,6 +75,7 @@
             }
             lastEventAtMs = nowMs;
             events += added;
+            version = Optional.of(version.orElse(sentToVersion));
             splitter.lastId().ifPresent(id -> resumeAfter = Optional.of(id));
         }
         return complete;
