A stream that its caller takes up goes on at the version that began it

Now every router records service and version of the resumable streams that it sends to targets, and copies the record to four others before the call itself is sent, so before the caller can have an event. The router that gets a resumed stream uses its own record, or asks six routers in the same order; it does not guess. Without an answer it refuses at once: with a short time to retry only if some router did not answer, otherwise without one. A service that has had one version only for as long as a stream can last leaves no doubt, so such streams go on.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RendezvousOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RendezvousOrder.java
@@ -1,7 +1,10 @@
 package org.onyxhinge.core.place;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -11,7 +14,7 @@
  * routers compete for the few items that all of them see, each takes one only if its position allows it, so no
  * coordination is needed. While their views of the fleet differ, an item may briefly be left unused, or be taken twice.
  */
-final class RendezvousOrder {
+public final class RendezvousOrder {
 
     private final String self;
     /** Hashes of the other routers' ids. */
@@ -61,7 +64,17 @@
         positions.remove(name);
     }
 
-    static long hash(String text) {
+    /** The routers that come first in the order for a hash, at most {@code count}. */
+    public static List<String> first(Collection<String> routers, long nameHash, int count) {
+        return routers.stream()
+                .sorted(Comparator.comparing((String r) -> weight(hash(r), nameHash))
+                        .reversed())
+                .limit(count)
+                .toList();
+    }
+
+    /** Hash of a name or a router's id. */
+    public static long hash(String text) {
         return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
     }
 
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/RendezvousOrderTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/RendezvousOrderTest.java
@@ -31,6 +31,18 @@
         assertThat(positions(ROUTERS, "target-7").size(), is(ROUTERS.size()));
     }
 
+    /** Guards against routers that look for a copy elsewhere because one router of the fleet has just gone. */
+    @Test
+    void firstRoutersStayWhenAnotherIsLost() {
+        for (long hash = 0; hash < 100; hash++) {
+            List<String> first = RendezvousOrder.first(ROUTERS, hash, 4);
+            String lost = RendezvousOrder.first(ROUTERS, hash, ROUTERS.size()).getLast();
+            List<String> left =
+                    ROUTERS.stream().filter(r -> !r.equals(lost)).sorted().toList();
+            assertThat(RendezvousOrder.first(left, hash, 4), is(first));
+        }
+    }
+
     @Test
     void routerOfTheNameIsLeftOut() {
         List<String> others =
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -22,6 +22,9 @@
      */
     RequestFingerprint fingerprint = RequestFingerprint.NONE;
 
+    /** Version that began the stream which the caller resumes, and how that is known. */
+    String origin = "";
+
     String target = "";
     /** Software version of the target, as registered when the call was sent. */
     String targetVersion = "";
@@ -120,7 +123,7 @@
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
                         + " deadlineMs=%d promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
-                        + " resumedAfter=%s originAttempt=%s target=%s targetVersion=%s targetCalls=%d"
+                        + " resumedAfter=%s originAttempt=%s origin=%s target=%s targetVersion=%s targetCalls=%d"
                         + " limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d scheduledRetryMs=%d troubles=\"%s\"",
@@ -138,6 +141,7 @@
                 plan == null ? -1 : plan.head().expectedOutputTokens(),
                 plan == null ? "" : plan.head().lastEventId().orElse(""),
                 plan == null ? "" : plan.head().originAttemptId().orElse(""),
+                origin,
                 target,
                 targetVersion,
                 targetCalls,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -63,6 +63,11 @@
         return new CallPlan(head, config, route, workspace, service, arrivedAtMs, updated);
     }
 
+    /** The same plan for another service of the route. */
+    CallPlan withService(String other) {
+        return new CallPlan(head, config, route, workspace, other, arrivedAtMs, times);
+    }
+
     /** When the caller's first attempt arrived, as far as known. */
     long firstArrivalMs() {
         return times.firstByteDeadlineMs() - route.targetLatencyMs();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -13,7 +13,9 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.route.CallKind;
+import org.onyxhinge.core.route.WorkspaceAccess;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -36,6 +38,7 @@
     private Call waiting;
     private Attempt attempt;
     private final StreamProgress stream = new StreamProgress();
+    private StreamOrigin recordedOrigin;
 
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
@@ -141,6 +144,39 @@
             refuseQuarantined();
             return;
         }
+        stream.resumeAfter(plan.head().lastEventId());
+        if (plan.route().kind() == CallKind.STREAM && stream.resumeAfter().isPresent()) {
+            Optional<Long> key = plan.head().originAttemptId().map(this::originKey);
+            forwarder.streamOrigins().find(key, plan, this::onOrigin);
+        } else {
+            accept();
+        }
+    }
+
+    /** Identifies the caller's attempt with an id to other routers. */
+    private long originKey(String attemptId) {
+        String host = request.getHeader("Host");
+        String workspace = plan.workspace().map(WorkspaceAccess::name).orElse("");
+        return StreamOrigins.key(workspace, host == null ? "" : host, request.path(), attemptId);
+    }
+
+    private void onOrigin(StreamOrigins.Result result) {
+        if (end.finished()) {
+            return;
+        }
+        switch (result) {
+            case StreamOrigins.Result.Known k -> {
+                logEntry.origin = k.origin().version() + " " + k.source();
+                plan = plan.withService(k.origin().service());
+                stream.beganAt(k.origin().version());
+                accept();
+            }
+            case StreamOrigins.Result.Unknown u ->
+                end.refuse("origin_unknown", u.everywhere() ? 0 : CallerResponse.OTHER_ROUTER_RETRY_MS);
+        }
+    }
+
+    private void accept() {
         long nowMs = MonotonicClock.nowMs();
         Optional<WorkspaceQuotas.Exceeded> exceeded = forwarder.quotas().take(plan, nowMs);
         if (exceeded.isPresent()) {
@@ -149,7 +185,6 @@
         }
         end.quotaCharged();
         forwarder.retries().countRequest(plan.service(), nowMs);
-        stream.resumeAfter(plan.head().lastEventId());
         submit();
     }
 
@@ -238,10 +273,27 @@
         logEntry.target = target.info().id();
         logEntry.targetVersion = target.info().version();
         stream.sentTo(target.info().version());
+        recordOrigin(new StreamOrigin(plan.service(), target.info().version()));
         plan.outgoing(target.info().id(), stream.resumeAfter()).write(request, forwarder.protocol(), options);
         return true;
     }
 
+    /**
+     * Tells other routers which version begins or continues the stream, before its caller can have an event of it and
+     * resume it there.
+     */
+    private void recordOrigin(StreamOrigin origin) {
+        Optional<String> attemptId = plan.head().lastEventId().isEmpty()
+                ? Optional.of(requestId())
+                : plan.head().originAttemptId();
+        boolean resumable =
+                plan.route().kind() == CallKind.STREAM && plan.route().repeatable();
+        if (resumable && attemptId.isPresent() && !origin.version().isEmpty() && !origin.equals(recordedOrigin)) {
+            recordedOrigin = origin;
+            forwarder.streamOrigins().sent(originKey(attemptId.get()), origin);
+        }
+    }
+
     @Override
     public boolean repeatable() {
         return plan.route().repeatable();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private final Rollouts rollouts;
     private final RetryRecognition retryRecognition;
     private final Optional<RepeatLimits> repeats;
+    private final StreamOrigins streamOrigins;
     private final PeerDelegate peerDelegate;
     private final GracefulShutdown shutdown;
     private final CallerConnections callers = new CallerConnections();
@@ -109,6 +110,7 @@
                 m -> peers.sendToDataCentre(m),
                 metrics,
                 placement.retryLedger());
+        this.streamOrigins = new StreamOrigins(vertx, settings.routerId(), () -> peers, this::longestCallMs, metrics);
         this.peerDelegate = new PeerDelegate(
                 placement,
                 quotas,
@@ -116,6 +118,7 @@
                 targetLimits,
                 rollouts,
                 retryRecognition,
+                streamOrigins,
                 metrics,
                 this::peerUsageChanged);
     }
@@ -133,7 +136,13 @@
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
         f.targets = new TargetRegistry(
-                f.context, f.placement, f.rollouts, f.crashQuarantine, f::pumpSoon, settings.leavingHoldMs());
+                f.context,
+                f.placement,
+                f.rollouts,
+                f.crashQuarantine,
+                f.streamOrigins,
+                f::pumpSoon,
+                settings.leavingHoldMs());
         f.rolloutRecords = new RolloutRecords(f.context, f.rollouts);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
@@ -277,6 +286,7 @@
                 .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
                 .put("targetLimits", placement.limits().size())
                 .put("refusedRequests", retryRecognition.size())
+                .put("streamOrigins", streamOrigins.size())
                 .put("repeatRecords", repeats.map(RepeatLimits::size).orElse(0))
                 .put("readers", readers.dump())
                 .put("promisedRetries", promisedRetries())
@@ -406,6 +416,10 @@
         return retryRecognition;
     }
 
+    StreamOrigins streamOrigins() {
+        return streamOrigins;
+    }
+
     /**
      * The configuration that calls are checked against; empty until usage received from peers before the first
      * configuration has been counted.
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -22,6 +22,7 @@
     private final TargetRateLimits targetLimits;
     private final Rollouts rollouts;
     private final RetryRecognition retryRecognition;
+    private final StreamOrigins streamOrigins;
     private final ForwardingMetrics metrics;
     private final Runnable onChange;
     private final List<PeerMessage.Usage> pendingUsage = new ArrayList<>();
@@ -39,6 +40,7 @@
             TargetRateLimits targetLimits,
             Rollouts rollouts,
             RetryRecognition retryRecognition,
+            StreamOrigins streamOrigins,
             ForwardingMetrics metrics,
             Runnable onChange) {
         this.placement = placement;
@@ -47,6 +49,7 @@
         this.targetLimits = targetLimits;
         this.rollouts = rollouts;
         this.retryRecognition = retryRecognition;
+        this.streamOrigins = streamOrigins;
         this.metrics = metrics;
         this.onChange = onChange;
     }
@@ -183,6 +186,21 @@
         retryRecognition.receive(refused);
     }
 
+    @Override
+    public void onStreamOrigin(PeerMessage.StreamOriginCopy copy) {
+        streamOrigins.receive(copy);
+    }
+
+    @Override
+    public void onStreamOriginQuery(PeerMessage.StreamOriginQuery query) {
+        streamOrigins.receive(query);
+    }
+
+    @Override
+    public void onStreamOriginReply(PeerMessage.StreamOriginReply reply) {
+        streamOrigins.receive(reply);
+    }
+
     @Override
     public void onAnswered(PeerMessage.SuspectCompleted answered) {
         crashQuarantine.receive(answered);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -18,6 +18,7 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.place.PeerUpdate;
 import org.onyxhinge.core.place.PeerUpdateSchedule;
+import org.onyxhinge.core.place.RendezvousOrder;
 import org.onyxhinge.core.place.SlotRequest;
 import org.onyxhinge.runtime.HostPort;
 import org.onyxhinge.wire.MonotonicClock;
@@ -111,6 +112,15 @@
         /** Called with requests that another router of the data centre has refused. */
         void onRefusedRequests(PeerMessage.RefusedRequests refused);
 
+        /** Called with what began a stream at another router. */
+        void onStreamOrigin(PeerMessage.StreamOriginCopy copy);
+
+        /** Called when another router asks what began a stream. */
+        void onStreamOriginQuery(PeerMessage.StreamOriginQuery query);
+
+        /** Called with the reply to a query of this router. */
+        void onStreamOriginReply(PeerMessage.StreamOriginReply reply);
+
         /** Called with targets' rate limits. */
         void onTargetLimits(PeerMessage.TargetLimits limits);
 
@@ -235,6 +245,9 @@
             case PeerMessage.SuspectCompleted a -> delegate.onAnswered(a);
             case PeerMessage.TargetLimits l -> delegate.onTargetLimits(l);
             case PeerMessage.RefusedRequests r -> delegate.onRefusedRequests(r);
+            case PeerMessage.StreamOriginCopy c -> delegate.onStreamOrigin(c);
+            case PeerMessage.StreamOriginQuery q -> delegate.onStreamOriginQuery(q);
+            case PeerMessage.StreamOriginReply r -> delegate.onStreamOriginReply(r);
             case PeerMessage.RolloutUpdate u -> delegate.onRolloutUpdate(u);
             case PeerMessage.RolloutReport r -> delegate.onRolloutReport(r);
             default ->
@@ -318,6 +331,15 @@
                 .forEach(l -> l.sendBestEffort(message));
     }
 
+    /** The connected routers that come first in the rendezvous order of a hash. */
+    List<String> firstConnected(long hash, int count) {
+        List<String> connected = links.entrySet().stream()
+                .filter(e -> e.getValue().connected())
+                .map(Map.Entry::getKey)
+                .toList();
+        return RendezvousOrder.first(connected, hash, count);
+    }
+
     /** Sends a message to one router; it is dropped if there is no connection. */
     void sendBestEffort(String routerId, PeerMessage message) {
         Optional.ofNullable(links.get(routerId)).ifPresent(l -> l.sendBestEffort(message));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -24,6 +24,7 @@
     private final Placement placement;
     private final Rollouts rollouts;
     private final CrashQuarantine crashQuarantine;
+    private final StreamOrigins streamOrigins;
     private final Runnable onChange;
     private final long leavingHoldMs;
     /** When targets that have announced their shutdown may be used again, by incarnation. */
@@ -42,12 +43,14 @@
             Placement placement,
             Rollouts rollouts,
             CrashQuarantine crashQuarantine,
+            StreamOrigins streamOrigins,
             Runnable onChange,
             long leavingHoldMs) {
         this.context = context;
         this.placement = placement;
         this.rollouts = rollouts;
         this.crashQuarantine = crashQuarantine;
+        this.streamOrigins = streamOrigins;
         this.onChange = onChange;
         this.leavingHoldMs = leavingHoldMs;
     }
@@ -57,6 +60,7 @@
         context.runOnContext(v -> {
             lapsed.settled(target.id());
             rollouts.targetSeen(target);
+            streamOrigins.targetRegistered(target);
             Optional<TargetState> replaced = placement.targetSeen(target);
             replaced.ifPresent(crashQuarantine::targetEnded);
             if (!target.ready() && drainIsFinal()) {
@@ -118,6 +122,7 @@
     }
 
     private void removeTarget(String id) {
+        streamOrigins.targetRemoved(id);
         placement.targetGone(id).ifPresent(crashQuarantine::targetEnded);
     }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -170,6 +170,15 @@
             answeredRequests.add(answered.request());
         }
 
+        @Override
+        public void onStreamOrigin(PeerMessage.StreamOriginCopy copy) {}
+
+        @Override
+        public void onStreamOriginQuery(PeerMessage.StreamOriginQuery query) {}
+
+        @Override
+        public void onStreamOriginReply(PeerMessage.StreamOriginReply reply) {}
+
         @Override
         public void onRolloutUpdate(PeerMessage.RolloutUpdate update) {
             rolloutUpdates.add(update);
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
@@ -29,6 +29,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
 
 /** Streams that are continued while targets of several software versions serve side by side. */
@@ -39,8 +40,8 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(2 * STREAMS));
-    private final int[] ports = {Ports.free(), Ports.free()};
-    private final int[] peerPorts = {Ports.free(), Ports.free()};
+    private final int[] ports = {Ports.free(), Ports.free(), Ports.free()};
+    private final int[] peerPorts = {Ports.free(), Ports.free(), Ports.free()};
     private final StringBuilder targets = new StringBuilder();
     /** Versions of the targets that produced events, by the id of the attempt that brought the first one. */
     private final Map<String, List<String>> versionsByStream = new ConcurrentHashMap<>();
@@ -129,13 +130,25 @@
                 "api_keys = k1",
                 "[workspace printers]",
                 "api_keys = k2",
-                "[peer r" + (1 - i) + "]",
-                "address = 127.0.0.1:" + peerPorts[1 - i],
-                "data_centre = here",
+                peers(i),
                 targets.toString());
         return Launch.await(ForwardingNode.start(Vertx.vertx(), SingleTargetConfig.read(text)), TIMEOUT_MS);
     }
 
+    private String peers(int of) {
+        StringBuilder out = new StringBuilder();
+        for (int i = 0; i < peerPorts.length; i++) {
+            if (i != of) {
+                out.append("[peer r")
+                        .append(i)
+                        .append("]\naddress = 127.0.0.1:")
+                        .append(peerPorts[i]);
+                out.append("\ndata_centre = here\n");
+            }
+        }
+        return out.toString();
+    }
+
     private static void awaitConnected(ForwardingNode... nodes) {
         for (ForwardingNode n : nodes) {
             Conditions.await(() -> Launch.await(n.dump(), TIMEOUT_MS).getDouble("routersHeardPart") == 1, TIMEOUT_MS);
@@ -255,6 +268,44 @@
             }
         }
 
+        /** Guards against a router that refuses, or guesses, because it has started after the stream began. */
+        @Test
+        void routerThatHasJustStartedAsksTheOthers() {
+            addTarget("a", "v1", "here", Begin.HOLD);
+            addTarget("b", "v2", "here", Begin.HOLD);
+            try (ForwardingNode first = start(0);
+                    ForwardingNode second = start(1)) {
+                awaitConnected(first, second);
+                beginAndBreakStreams(0);
+                first.close();
+                try (ForwardingNode third = start(2)) {
+                    awaitConnected(second, third);
+                    for (int i = 0; i < STREAMS; i++) {
+                        Received rest = resume(2, "t" + i, "s" + i);
+                        assertThat(rest.status(), is(200));
+                        assertThat(rest.versions(), is(versionsByStream.get("s" + i)));
+                    }
+                }
+            }
+        }
+
+        /** Guards against a caller that is turned away for good while a router that may know does not answer. */
+        @Test
+        void callerMayComeBackWhileARouterDoesNotAnswer() {
+            addTarget("a", "v1", "here", Begin.HOLD);
+            addTarget("b", "v2", "here", Begin.HOLD);
+            Launch.await(vertx.createNetServer().connectHandler(s -> {}).listen(peerPorts[1], "127.0.0.1"), TIMEOUT_MS);
+            try (ForwardingNode first = start(0)) {
+                Conditions.await(
+                        () -> resume(0, "t", "unknown").retryAfter() != null
+                                && Launch.await(first.dump(), TIMEOUT_MS).getDouble("routersHeardPart") < 1,
+                        TIMEOUT_MS);
+                Received refused = resume(0, "t", "unknown");
+                assertThat(refused.status(), is(503));
+                assertThat(Double.parseDouble(refused.retryAfter()), lessThan(0.1));
+            }
+        }
+
         /** Guards against a second break: the caller still names the attempt that brought the first event. */
         @Test
         void streamTakenUpTwiceStaysAtItsVersion() {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -41,6 +41,9 @@
     private static final int ROLLOUT_UPDATE = 17;
     private static final int ROLLOUT_REPORT = 18;
     private static final int REFUSED_REQUESTS = 19;
+    private static final int STREAM_ORIGIN_COPY = 20;
+    private static final int STREAM_ORIGIN_QUERY = 21;
+    private static final int STREAM_ORIGIN_REPLY = 22;
 
     private static final int MAX_PREFIXES = 4_096;
     private static final int MAX_CRASHES = 65_536;
@@ -97,6 +100,12 @@
                 RolloutCodec.write(writeHeader(p, ROLLOUT_REPORT, RolloutCodec.REPORT_FIELDS), r);
             case PeerMessage.RefusedRequests r ->
                 RefusalCodec.write(writeHeader(p, REFUSED_REQUESTS, RefusalCodec.FIELDS), r);
+            case PeerMessage.StreamOriginCopy c ->
+                StreamOriginCodec.write(writeHeader(p, STREAM_ORIGIN_COPY, StreamOriginCodec.COPY_FIELDS), c);
+            case PeerMessage.StreamOriginQuery q ->
+                StreamOriginCodec.write(writeHeader(p, STREAM_ORIGIN_QUERY, StreamOriginCodec.QUERY_FIELDS), q);
+            case PeerMessage.StreamOriginReply r ->
+                StreamOriginCodec.write(writeHeader(p, STREAM_ORIGIN_REPLY, StreamOriginCodec.fields(r)), r);
             case PeerMessage.OrderReply o ->
                 writeHeader(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -154,6 +163,16 @@
             case ROLLOUT_UPDATE -> RolloutCodec.readUpdate(requireFields(u, fields, RolloutCodec.UPDATE_FIELDS));
             case ROLLOUT_REPORT -> RolloutCodec.readReport(requireFields(u, fields, RolloutCodec.REPORT_FIELDS));
             case REFUSED_REQUESTS -> RefusalCodec.read(requireFields(u, fields, RefusalCodec.FIELDS));
+            case STREAM_ORIGIN_COPY ->
+                StreamOriginCodec.readCopy(requireFields(u, fields, StreamOriginCodec.COPY_FIELDS));
+            case STREAM_ORIGIN_QUERY ->
+                StreamOriginCodec.readQuery(requireFields(u, fields, StreamOriginCodec.QUERY_FIELDS));
+            case STREAM_ORIGIN_REPLY ->
+                StreamOriginCodec.readReply(
+                        fields == StreamOriginCodec.UNKNOWN_FIELDS
+                                ? u
+                                : requireFields(u, fields, StreamOriginCodec.COPY_FIELDS),
+                        fields);
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         requireFields(u, fields, 3).unpackLong(),
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.rollout.AnswerCell;
 import org.onyxhinge.core.rollout.AnswerCount;
 import org.onyxhinge.core.rollout.RolloutPhase;
@@ -259,6 +261,30 @@
      */
     record RefusedRequest(int key, long firstArrivalAgoMs, long deadlineInMs, long retryInMs) {}
 
+    /**
+     * What began a stream, for a router that may have to continue it.
+     *
+     * @param key identifies the attempt that began the stream
+     * @param origin its service and version
+     */
+    record StreamOriginCopy(long key, StreamOrigin origin) implements RouterToRouter {}
+
+    /**
+     * Asks what began a stream.
+     *
+     * @param routerId the sending router
+     * @param key identifies the attempt that began the stream
+     */
+    record StreamOriginQuery(String routerId, long key) implements RouterToRouter {}
+
+    /**
+     * The reply to {@link StreamOriginQuery}.
+     *
+     * @param key the key of the query
+     * @param origin what began the stream; empty if the sender does not know
+     */
+    record StreamOriginReply(long key, Optional<StreamOrigin> origin) implements RouterToRouter {}
+
     /**
      * The phase of a rollout. A rollback is reported when it is decided, any other phase once it is recorded.
      *
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -14,6 +15,7 @@
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.rollout.AnswerCell;
 import org.onyxhinge.core.rollout.AnswerCount;
 import org.onyxhinge.core.rollout.RolloutPhase;
@@ -110,6 +112,16 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
     }
 
+    @Property(tries = 300, seed = "16")
+    void messagesAboutStreamOriginsRoundTrip(@ForAll long key, @ForAll boolean known) {
+        StreamOrigin origin = new StreamOrigin("writers", "v" + key);
+        List<PeerMessage> messages = List.of(
+                new PeerMessage.StreamOriginCopy(key, origin),
+                new PeerMessage.StreamOriginQuery("r1", key),
+                new PeerMessage.StreamOriginReply(key, known ? Optional.of(origin) : Optional.empty()));
+        messages.forEach(m -> assertThat(PeerCodec.decode(PeerCodec.encode(m)), equalTo(m)));
+    }
+
     /** Guards against routers of the previous version, which know eight fields, losing their links to this one. */
     @Example
     void usageWithoutSharesIsTheMessageOfThePreviousVersion() {
