Rollouts: streams stay at the replaced version that began them

Streams that have reached their caller now stay and run to their end; the rollout may complete late, which costs less than an answer that nobody can continue. Targets of a version that is being replaced have the role REPLACED: no new calls, but the streams that began there. A version that was rolled back still gets nothing. On a version on trial such calls count against the exposure. Since streams now delay the end, long ones are preferred for the new version like other long calls.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetRole.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetRole.java
@@ -6,6 +6,13 @@
     SERVING,
     /** A limited part of the calls, because its version is on trial. */
     TRIAL,
-    /** No new calls. */
-    WITHHELD
+    /** Only streams that began on its version, because another version replaces it. */
+    REPLACED,
+    /** No calls. */
+    WITHHELD;
+
+    /** Whether calls that begin may be placed on such a target. */
+    public boolean takesNewCalls() {
+        return this == SERVING || this == TRIAL;
+    }
 }
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -183,7 +183,8 @@
         if (call.version().isEmpty()) {
             return takesCalls();
         }
-        return takesCalls() && info.version().equals(call.version().get());
+        boolean continues = role == TargetRole.SERVING || role == TargetRole.REPLACED;
+        return isReady() && continues && info.version().equals(call.version().get());
     }
 
     /**
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/Rollout.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/Rollout.java
@@ -22,8 +22,8 @@
     /** Largest part of the duration that the margin may take. */
     private static final double MAX_MARGIN_FRACTION = 0.2;
 
-    /** Resumable streams on the earlier versions are moved to the new one this long before the deadline. */
-    private static final long MOVE_STREAMS_BEFORE_DEADLINE_MS = 3_000;
+    /** Calls on the earlier versions that can begin again move to the new one this long before the deadline. */
+    private static final long MOVE_CALLS_BEFORE_DEADLINE_MS = 3_000;
 
     /** If the leading router does not take a step that is due, another one does after this time. */
     private static final long LEADER_TIMEOUT_MS = 1_500;
@@ -122,7 +122,7 @@
      * Whether a call on a route may go to the version on trial now. Some of the exposure is kept for calls that would
      * delay the end of the rollout.
      *
-     * @param expectedMs how long the call is expected to last; 0 if it could be moved to another target
+     * @param expectedMs how long the call is expected to last; 0 if another version could run it again
      */
     public boolean permitsTrial(String route, double expectedMs, long nowMs) {
         boolean outlasts = expectedMs > remainingMs(nowMs) - marginMs();
@@ -173,10 +173,10 @@
         return exposure.calls();
     }
 
-    /** Whether streams on the earlier versions should move now, because little time is left. */
-    public boolean movesStreams(long nowMs) {
+    /** Whether calls on the earlier versions that can begin again should move now, because little time is left. */
+    public boolean movesCalls(long nowMs) {
         return phase == RolloutPhase.PROMOTING
-                && remainingMs(nowMs) < Math.min(MOVE_STREAMS_BEFORE_DEADLINE_MS, order.durationMs() / 4);
+                && remainingMs(nowMs) < Math.min(MOVE_CALLS_BEFORE_DEADLINE_MS, order.durationMs() / 4);
     }
 
     private long remainingMs(long nowMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
@@ -83,7 +83,7 @@
             if (rollout.get().phase() == RolloutPhase.TRIAL) {
                 return ordered ? TargetRole.TRIAL : TargetRole.SERVING;
             }
-            return ordered ? TargetRole.SERVING : TargetRole.WITHHELD;
+            return ordered ? TargetRole.SERVING : TargetRole.REPLACED;
         }
         boolean current = rollout.map(r -> version.equals(r.order().version())).orElse(false);
         boolean held = !current
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ContinuedStreamTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ContinuedStreamTest.java
@@ -83,6 +83,25 @@
             assertThat(version(verdicts.getFirst()), is("v2"));
         }
 
+        /** Guards against a wait behind calls that want a slot of any version while one of its version is free. */
+        @Test
+        void passesCallsThatFindNoSlot() {
+            target("a", "v1");
+            target("b", "v2");
+            List<Verdict.Send> running = fill(2 * SLOTS);
+            placement.versionRoles(SERVICE, v -> v.equals("v1") ? TargetRole.REPLACED : TargetRole.SERVING);
+            begin(10);
+            Verdict waiting = resume("v1", 10);
+            assertThat(waiting, instanceOf(Verdict.Wait.class));
+            running.stream()
+                    .filter(s -> s.target().info().version().equals("v1"))
+                    .findFirst()
+                    .ifPresent(s -> end(s, 20));
+            List<Verdict> verdicts = placement.pump(20);
+            assertThat(verdicts.stream().map(Verdict::call).toList(), contains(waiting.call()));
+            assertThat(version(verdicts.getFirst()), is("v1"));
+        }
+
         /** Guards against a long wait, refused at its end, for the one target that is left of a version. */
         @Test
         void isRefusedAtOnceWhereItsSlotsWouldComeTooLate() {
@@ -104,6 +123,18 @@
     @Nested
     class OfAVersionThatIsReplaced {
 
+        /** Guards against streams that are refused, and new calls that are accepted, by a version being replaced. */
+        @Test
+        void goesOnThereWhileNewCallsDoNot() {
+            target("a", "v1");
+            target("b", "v2");
+            placement.versionRoles(SERVICE, v -> v.equals("v1") ? TargetRole.REPLACED : TargetRole.SERVING);
+            for (int i = 0; i < SLOTS; i++) {
+                assertThat(version(resume("v1", 0)), is("v1"));
+                assertThat(version(begin(0)), is("v2"));
+            }
+        }
+
         /** Guards against calls to a version that was rolled back. */
         @Test
         void isRefusedOnceTheVersionIsWithheld() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
@@ -62,13 +62,15 @@
         exchanges.stream().filter(x -> x.fingerprint().equals(request)).toList().forEach(Exchange::quarantined);
     }
 
-    /** Number of attempts on the targets of a service with a role. */
-    int countOn(String service, TargetRole role) {
-        return (int)
-                attempts.stream().filter(a -> isOn(a.target(), service, role)).count();
+    /** Number of attempts on the targets of a service that get no new calls because of their version. */
+    int countOnReplaced(String service) {
+        return (int) attempts.stream()
+                .map(Attempt::target)
+                .filter(t -> !t.role().takesNewCalls() && t.info().service().equals(service))
+                .count();
     }
 
-    /** Moves the calls that may be repeated off the targets of a service with a role. */
+    /** Moves the calls that another version may run off the targets of a service with a role. */
     void moveOff(String service, TargetRole role) {
         exchanges.stream()
                 .filter(x -> x.runningOn().filter(t -> isOn(t, service, role)).isPresent())
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -196,7 +196,7 @@
         long nowMs = MonotonicClock.nowMs();
         Call call = call(history.excluded());
         Optional<Verdict.Send> trial =
-                history.sendCount() == 0 && stream.resumeAfter().isEmpty()
+                history.sendCount() == 0 || stream.version().isPresent()
                         ? forwarder.rollouts().submitTrial(call, plan.route(), nowMs)
                         : Optional.empty();
         onVerdict(trial.isPresent() ? trial.get() : forwarder.placement().submit(call, nowMs));
@@ -450,9 +450,10 @@
         }
     }
 
-    /** Moves a call that may be repeated off its target, if another one accepts it now. */
+    /** Moves a call that another version may run off its target, if another one accepts it now. */
     void moveAway(String why) {
-        if (attempt != null && attempt.isRunning() && attempt.repeatable()) {
+        boolean anyVersion = stream.version().isEmpty();
+        if (anyVersion && attempt != null && attempt.isRunning() && attempt.repeatable()) {
             silent(attempt, why);
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutReporter.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutReporter.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.onyxhinge.core.place.TargetRole;
 import org.onyxhinge.core.rollout.AnswerCell;
 import org.onyxhinge.core.rollout.AnswerCount;
 import org.onyxhinge.core.rollout.Rollout;
@@ -65,7 +64,7 @@
                 r.order().id(),
                 r.phase(),
                 r.ageMs(nowMs),
-                forwarder.calls().countOn(s.service(), TargetRole.WITHHELD),
+                forwarder.calls().countOnReplaced(s.service()),
                 full ? allAnswers(r) : newAnswers(r));
         forwarder
                 .peers()
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
@@ -24,6 +24,7 @@
 import org.onyxhinge.core.rollout.RolloutOrder;
 import org.onyxhinge.core.rollout.RolloutPhase;
 import org.onyxhinge.core.rollout.RolloutStep;
+import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.core.route.Route;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.kv.KvRevision;
@@ -178,7 +179,10 @@
             return Optional.empty();
         }
         Rollout rollout = s.active().get();
-        double expectedMs = route.repeatable() ? 0 : placement.expectedMs(call);
+        double expectedMs = route.kind() == CallKind.IDEMPOTENT ? 0 : placement.expectedMs(call);
+        if (call.version().filter(v -> !v.equals(rollout.order().version())).isPresent()) {
+            return Optional.empty();
+        }
         if (!rollout.permitsTrial(route.name(), expectedMs, nowMs) || !isInformed()) {
             return Optional.empty();
         }
@@ -244,7 +248,8 @@
             logWaiting(s, rollout, nowMs);
         }
         rollout.decide(fleet, longestCallMs, nowMs).ifPresent(d -> take(s, rollout, d));
-        if (rollout.movesStreams(nowMs)) {
+        if (rollout.movesCalls(nowMs)) {
+            forwarder.calls().moveOff(s.service(), TargetRole.REPLACED);
             forwarder.calls().moveOff(s.service(), TargetRole.WITHHELD);
         }
     }
@@ -257,7 +262,7 @@
                     s.service(),
                     rollout.order().version(),
                     rollout.promotedForMs(nowMs),
-                    forwarder.calls().countOn(s.service(), TargetRole.WITHHELD),
+                    forwarder.calls().countOnReplaced(s.service()),
                     peers().expectedIds().stream()
                             .filter(id -> !s.isDrained(id, nowMs))
                             .sorted()
@@ -352,8 +357,7 @@
 
     /** Whether no router has a call on a replaced version, or can begin one. */
     private boolean isDrained(ServiceRollout s, Rollout rollout, long longestCallMs, long nowMs) {
-        if (rollout.promotedForMs(nowMs) < MIN_PROMOTED_MS
-                || forwarder.calls().countOn(s.service(), TargetRole.WITHHELD) > 0) {
+        if (rollout.promotedForMs(nowMs) < MIN_PROMOTED_MS || forwarder.calls().countOnReplaced(s.service()) > 0) {
             return false;
         }
         boolean silentAreDrained = rollout.promotedForMs(nowMs) > MAX_UNCONFIRMED_MS + longestCallMs;
@@ -381,7 +385,7 @@
                             .put("trialBad", trial.bad())
                             .put("usualAnswers", usual.answers())
                             .put("usualBad", usual.bad())
-                            .put("replacedCalls", forwarder.calls().countOn(name, TargetRole.WITHHELD)));
+                            .put("replacedCalls", forwarder.calls().countOnReplaced(name)));
         }));
         return out;
     }
