--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RendezvousOrder.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RendezvousOrder.java
@@ -64,12 +64,16 @@
         positions.remove(name);
     }
 
+    /** A router with its weight for a hash; the greatest weight comes first. */
+    private record Weighted(String router, int weight) {}
+
     /** The routers that come first in the order for a hash, at most {@code count}. */
     public static List<String> first(Collection<String> routers, long nameHash, int count) {
         return routers.stream()
-                .sorted(Comparator.comparing((String r) -> weight(hash(r), nameHash))
-                        .reversed())
+                .map(r -> new Weighted(r, weight(hash(r), nameHash)))
+                .sorted(Comparator.comparingInt(Weighted::weight).reversed().thenComparing(Weighted::router))
                 .limit(count)
+                .map(Weighted::router)
                 .toList();
     }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
@@ -5,10 +5,12 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Pattern;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnection;
@@ -37,6 +39,7 @@
 
     private static final long TIMEOUT_MS = 20_000;
     private static final int STREAMS = 24;
+    private static final Pattern EVENT = Pattern.compile("id: \\d+\ndata: (.*)\n\n");
 
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(2 * STREAMS));
@@ -176,10 +179,11 @@
     private void begin(int router, String attempt) {
         Promise<String> first = Promise.promise();
         send(router, "/draft/1", "k1", OnyxCallProtocol.REQUEST_ID, attempt)
-                .onSuccess(r -> r.handler(b -> {
+                .onSuccess(r -> {
+                    Buffer received = Buffer.buffer();
                     openStreams.add(r.request().connection());
-                    first.tryComplete(version(b.toString()));
-                }))
+                    r.handler(b -> versions(received.appendBuffer(b)).forEach(first::tryComplete));
+                })
                 .onFailure(first::tryFail);
         versionsByStream.computeIfAbsent(attempt, a -> new ArrayList<>()).add(Launch.await(first.future(), TIMEOUT_MS));
     }
@@ -193,24 +197,19 @@
         openStreams.forEach(HttpConnection::close);
     }
 
-    private static String version(String event) {
-        return event.substring(event.indexOf("data: ") + 6).trim();
+    /** The versions that produced the complete events of a stream. */
+    private static List<String> versions(Buffer stream) {
+        return EVENT.matcher(stream.toString()).results().map(m -> m.group(1)).toList();
     }
 
     private static Future<Received> receive(HttpClientResponse response) {
-        List<String> versions = new ArrayList<>();
-        Promise<Received> out = Promise.promise();
-        String retryAfter = response.getHeader("Retry-After");
-        boolean stream = response.statusCode() == 200;
-        response.handler(b -> {
-            if (stream) {
-                versions.add(version(b.toString()));
-            }
-        });
-        response.endHandler(v -> out.tryComplete(new Received(response.statusCode(), retryAfter, versions, true)));
-        response.exceptionHandler(
-                e -> out.tryComplete(new Received(response.statusCode(), retryAfter, versions, false)));
-        return out.future();
+        Buffer received = Buffer.buffer();
+        response.handler(received::appendBuffer);
+        return response.end()
+                .map(true)
+                .otherwise(false)
+                .map(whole -> new Received(
+                        response.statusCode(), response.getHeader("Retry-After"), versions(received), whole));
     }
 
     private Received resume(int router, String path, String key, String attempt, String... origin) {
