Exchange: the way of a request until it is placed is a class of its own

StreamOrigins decides itself which streams are recorded and under which key. Half as many records are kept (16,384).

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/resume/StreamOriginTable.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/resume/StreamOriginTable.java
@@ -12,7 +12,7 @@
 public final class StreamOriginTable {
 
     /** More than a router learns of within the longest time that callers wait, at the planned fleet size. */
-    private static final int MAX_ORIGINS = 32_768;
+    private static final int MAX_ORIGINS = 16_384;
 
     private final Map<Long, StreamOrigin> origins = BoundedMap.dropOldest(MAX_ORIGINS);
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -13,9 +13,7 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.quarantine.RequestFingerprint;
-import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.route.CallKind;
-import org.onyxhinge.core.route.WorkspaceAccess;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -31,6 +29,7 @@
     private final AttemptHistory history = new AttemptHistory();
     private final CallLogEntry logEntry = new CallLogEntry();
     private final ExchangeEnd end;
+    private final ExchangeIntake intake;
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private RequestFingerprint fingerprint = RequestFingerprint.NONE;
@@ -38,13 +37,13 @@
     private Call waiting;
     private Attempt attempt;
     private final StreamProgress stream = new StreamProgress();
-    private StreamOrigin recordedOrigin;
 
     private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
         this.request = request;
         this.caller = new CallerResponse(request, forwarder.readers(), () -> !forwarder.ready());
         this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
+        this.intake = new ExchangeIntake(forwarder, this, request, end, logEntry, arrivedAtMs);
     }
 
     /** Starts an exchange for a new request. */
@@ -59,37 +58,11 @@
 
     /** Checks the request's head; holds the request if there is no configuration yet. */
     void check() {
-        if (end.finished()) {
-            return;
-        }
-        if (forwarder.shutdown().refusesCalls()) {
-            end.refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
-            return;
-        }
-        Optional<ConfirmedConfig> config = forwarder.activeConfig();
-        if (config.isEmpty()) {
-            forwarder.holdUntilConfigured(this);
-            return;
-        }
-        logEntry.confirmationAgeMs = forwarder.freshness().ageMs(config.get().confirmedAtMs());
-        CallCheck result = CallCheck.of(request, forwarder.protocol(), config.get(), forwarder.freshness());
-        logEntry.requestId = result.head() == null ? "" : result.head().requestId();
-        switch (result) {
-            case CallCheck.Allowed a -> onAllowed(a);
-            case CallCheck.Rejected r -> end.fail(r.status(), r.outcome(), r.message());
-            case CallCheck.Undetermined u -> end.refuse(u.why(), CallerResponse.OTHER_ROUTER_RETRY_MS);
+        if (!end.finished()) {
+            intake.check();
         }
     }
 
-    private void onAllowed(CallCheck.Allowed check) {
-        long waitedBeforeMs = forwarder
-                .deadlines()
-                .waitedBeforeMs(check.route().name(), check.head().deadlineMs(), MonotonicClock.nowMs());
-        plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
-        end.timer(plan.remainingMs(), this::deadlineExpired);
-        forwarder.startScheduler().offer(this, plan);
-    }
-
     /** Refuses the request because the router lacks processor time for it. */
     void refuseOverloaded(long waitMs) {
         if (!end.finished()) {
@@ -100,7 +73,7 @@
     /** Starts processing an accepted request. */
     void begin() {
         if (!end.finished()) {
-            readBody();
+            intake.readBody();
         }
     }
 
@@ -109,86 +82,36 @@
         end.refuse("no_config", CallerResponse.OTHER_ROUTER_RETRY_MS);
     }
 
-    private void readBody() {
-        int maxBytes = plan.config().limits().maxBodyBytes();
-        RequestBodyReader.read(
-                request,
-                maxBytes,
-                received -> {
-                    body = received;
-                    if (!end.finished()) {
-                        fingerprint = plan.fingerprint(request, received);
-                        plan = forwarder.retryRecognition().recognize(plan, fingerprint);
-                        logEntry.fingerprint = fingerprint;
-                        recognizeRepeat();
-                        admit();
-                    }
-                },
-                () -> end.fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
-    }
-
-    private void recognizeRepeat() {
-        int early = forwarder
-                .repeats()
-                .map(r -> r.arrived(fingerprint.low(), plan.callerDeadlineMs(), MonotonicClock.nowMs()))
-                .orElse(0);
-        repeated = early > 0;
-        if (repeated) {
-            logEntry.addTrouble("repeat", "early=" + early);
-            forwarder.metrics().event("repeats.early");
-        }
-    }
-
-    private void admit() {
-        if (forwarder.crashQuarantine().isQuarantined(fingerprint)) {
-            refuseQuarantined();
-            return;
-        }
-        stream.resumeAfter(plan.head().lastEventId());
-        if (plan.route().kind() == CallKind.STREAM && stream.resumeAfter().isPresent()) {
-            Optional<Long> key = plan.head().originAttemptId().map(this::originKey);
-            forwarder.streamOrigins().find(key, plan, this::onOrigin);
-        } else {
-            accept();
-        }
+    /** Sets the plan; replaces an earlier one when more is known about the request. */
+    void planned(CallPlan current) {
+        plan = current;
     }
 
-    /** Identifies the caller's attempt with an id to other routers. */
-    private long originKey(String attemptId) {
-        String host = request.getHeader("Host");
-        String workspace = plan.workspace().map(WorkspaceAccess::name).orElse("");
-        return StreamOrigins.key(workspace, host == null ? "" : host, request.path(), attemptId);
+    /** Ends the request when its time is over. */
+    void startDeadline() {
+        end.timer(plan.remainingMs(), this::deadlineExpired);
     }
 
-    private void onOrigin(StreamOrigins.Result result) {
-        if (end.finished()) {
-            return;
-        }
-        switch (result) {
-            case StreamOrigins.Result.Known k -> {
-                logEntry.origin = k.origin().version() + " " + k.source();
-                plan = plan.withService(k.origin().service());
-                stream.beganAt(k.origin().version());
-                accept();
-            }
-            case StreamOrigins.Result.Unknown u ->
-                end.refuse("origin_unknown", u.everywhere() ? 0 : CallerResponse.OTHER_ROUTER_RETRY_MS);
-        }
+    /**
+     * Sets what was received.
+     *
+     * @param repeat whether the caller repeats the request before the time it was told
+     */
+    void received(Buffer whole, RequestFingerprint identity, boolean repeat) {
+        body = whole;
+        fingerprint = identity;
+        repeated = repeat;
+        logEntry.fingerprint = identity;
     }
 
-    private void accept() {
-        long nowMs = MonotonicClock.nowMs();
-        Optional<WorkspaceQuotas.Exceeded> exceeded = forwarder.quotas().take(plan, nowMs);
-        if (exceeded.isPresent()) {
-            end.refuseOverQuota(exceeded.get());
-            return;
-        }
-        end.quotaCharged();
-        forwarder.retries().countRequest(plan.service(), nowMs);
-        submit();
+    /** Sets that the caller has received the first part of a stream, which a version produced. */
+    void continues(String eventId, Optional<String> version) {
+        stream.resumeAfter(Optional.of(eventId));
+        version.ifPresent(stream::beganAt);
     }
 
-    private void submit() {
+    /** Sends the request, or queues it. */
+    void submit() {
         if (forwarder.crashQuarantine().isQuarantined(fingerprint)) {
             refuseQuarantined();
             return;
@@ -239,7 +162,8 @@
         }
     }
 
-    private void refuseQuarantined() {
+    /** Refuses the request because it crashes targets. */
+    void refuseQuarantined() {
         end.withoutTarget("quarantined", forwarder.crashQuarantine().endsInMs(fingerprint));
     }
 
@@ -273,27 +197,11 @@
         logEntry.target = target.info().id();
         logEntry.targetVersion = target.info().version();
         stream.sentTo(target.info().version());
-        recordOrigin(new StreamOrigin(plan.service(), target.info().version()));
+        forwarder.streamOrigins().sending(plan, request, target.info().version());
         plan.outgoing(target.info().id(), stream.resumeAfter()).write(request, forwarder.protocol(), options);
         return true;
     }
 
-    /**
-     * Tells other routers which version begins or continues the stream, before its caller can have an event of it and
-     * resume it there.
-     */
-    private void recordOrigin(StreamOrigin origin) {
-        Optional<String> attemptId = plan.head().lastEventId().isEmpty()
-                ? Optional.of(requestId())
-                : plan.head().originAttemptId();
-        boolean resumable =
-                plan.route().kind() == CallKind.STREAM && plan.route().repeatable();
-        if (resumable && attemptId.isPresent() && !origin.version().isEmpty() && !origin.equals(recordedOrigin)) {
-            recordedOrigin = origin;
-            forwarder.streamOrigins().sent(originKey(attemptId.get()), origin);
-        }
-    }
-
     @Override
     public boolean repeatable() {
         return plan.route().repeatable();
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -0,0 +1,146 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.route.CallKind;
+import org.onyxhinge.wire.MonotonicClock;
+
+/**
+ * The way of a request from its head until it is placed: it is checked against the configuration, read, and charged to
+ * its workspace's quota. A stream that its caller resumes is bound to the version that began it.
+ */
+final class ExchangeIntake {
+
+    private final Forwarder forwarder;
+    private final Exchange exchange;
+    private final HttpServerRequest request;
+    private final ExchangeEnd end;
+    private final CallLogEntry logEntry;
+    private final long arrivedAtMs;
+
+    ExchangeIntake(
+            Forwarder forwarder,
+            Exchange exchange,
+            HttpServerRequest request,
+            ExchangeEnd end,
+            CallLogEntry logEntry,
+            long arrivedAtMs) {
+        this.forwarder = forwarder;
+        this.exchange = exchange;
+        this.request = request;
+        this.end = end;
+        this.logEntry = logEntry;
+        this.arrivedAtMs = arrivedAtMs;
+    }
+
+    /** Checks the request's head; holds the request if there is no configuration yet. */
+    void check() {
+        if (forwarder.shutdown().refusesCalls()) {
+            end.refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
+            return;
+        }
+        Optional<ConfirmedConfig> config = forwarder.activeConfig();
+        if (config.isEmpty()) {
+            forwarder.holdUntilConfigured(exchange);
+            return;
+        }
+        logEntry.confirmationAgeMs = forwarder.freshness().ageMs(config.get().confirmedAtMs());
+        CallCheck result = CallCheck.of(request, forwarder.protocol(), config.get(), forwarder.freshness());
+        logEntry.requestId = result.head() == null ? "" : result.head().requestId();
+        switch (result) {
+            case CallCheck.Allowed a -> onAllowed(a);
+            case CallCheck.Rejected r -> end.fail(r.status(), r.outcome(), r.message());
+            case CallCheck.Undetermined u -> end.refuse(u.why(), CallerResponse.OTHER_ROUTER_RETRY_MS);
+        }
+    }
+
+    private void onAllowed(CallCheck.Allowed check) {
+        long waitedBeforeMs = forwarder
+                .deadlines()
+                .waitedBeforeMs(check.route().name(), check.head().deadlineMs(), MonotonicClock.nowMs());
+        CallPlan plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
+        exchange.planned(plan);
+        exchange.startDeadline();
+        forwarder.startScheduler().offer(exchange, plan);
+    }
+
+    /** Reads the request's body; the request is placed once it is complete. */
+    void readBody() {
+        int maxBytes = exchange.plan().config().limits().maxBodyBytes();
+        RequestBodyReader.read(
+                request,
+                maxBytes,
+                this::received,
+                () -> end.fail(413, "body_too_large", "body above " + maxBytes + " bytes"));
+    }
+
+    private void received(Buffer body) {
+        if (end.finished()) {
+            return;
+        }
+        RequestFingerprint fingerprint = exchange.plan().fingerprint(request, body);
+        exchange.planned(forwarder.retryRecognition().recognize(exchange.plan(), fingerprint));
+        exchange.received(body, fingerprint, isRepeat(fingerprint));
+        admit();
+    }
+
+    private boolean isRepeat(RequestFingerprint fingerprint) {
+        long deadlineMs = exchange.plan().callerDeadlineMs();
+        int early = forwarder
+                .repeats()
+                .map(r -> r.arrived(fingerprint.low(), deadlineMs, MonotonicClock.nowMs()))
+                .orElse(0);
+        if (early > 0) {
+            logEntry.addTrouble("repeat", "early=" + early);
+            forwarder.metrics().event("repeats.early");
+        }
+        return early > 0;
+    }
+
+    private void admit() {
+        if (forwarder.crashQuarantine().isQuarantined(exchange.fingerprint())) {
+            exchange.refuseQuarantined();
+            return;
+        }
+        CallPlan plan = exchange.plan();
+        Optional<String> lastEventId = plan.head().lastEventId();
+        if (lastEventId.isPresent() && plan.route().kind() == CallKind.STREAM) {
+            forwarder.streamOrigins().find(plan, request, result -> onOrigin(lastEventId.get(), result));
+        } else {
+            lastEventId.ifPresent(id -> exchange.continues(id, Optional.empty()));
+            chargeAndSubmit();
+        }
+    }
+
+    private void onOrigin(String lastEventId, StreamOrigins.Result result) {
+        if (end.finished()) {
+            return;
+        }
+        switch (result) {
+            case StreamOrigins.Result.Known k -> {
+                logEntry.origin = k.origin().version() + " " + k.source();
+                exchange.planned(exchange.plan().withService(k.origin().service()));
+                exchange.continues(lastEventId, Optional.of(k.origin().version()));
+                chargeAndSubmit();
+            }
+            case StreamOrigins.Result.Unknown u ->
+                end.refuse("origin_unknown", u.everywhere() ? 0 : CallerResponse.OTHER_ROUTER_RETRY_MS);
+        }
+    }
+
+    private void chargeAndSubmit() {
+        CallPlan plan = exchange.plan();
+        long nowMs = MonotonicClock.nowMs();
+        Optional<WorkspaceQuotas.Exceeded> exceeded = forwarder.quotas().take(plan, nowMs);
+        if (exceeded.isPresent()) {
+            end.refuseOverQuota(exceeded.get());
+            return;
+        }
+        end.quotaCharged();
+        forwarder.retries().countRequest(plan.service(), nowMs);
+        exchange.submit();
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamOrigins.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StreamOrigins.java
@@ -10,11 +10,14 @@
 import java.util.function.ToLongFunction;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
 import org.onyxhinge.core.place.RendezvousOrder;
 import org.onyxhinge.core.place.Target;
 import org.onyxhinge.core.resume.ServedVersions;
 import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.resume.StreamOriginTable;
+import org.onyxhinge.core.route.CallKind;
+import org.onyxhinge.core.route.WorkspaceAccess;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -49,7 +52,9 @@
     private static final class Query {
         private final List<Consumer<Optional<StreamOrigin>>> waiting = new ArrayList<>();
         private int repliesLeft;
-        private boolean allReplied;
+        /** Whether all routers are asked that may know more. */
+        private boolean complete;
+
         private long timerId;
     }
 
@@ -93,8 +98,10 @@
      * Identifies an attempt of a caller. It depends on the workspace and on what is called, so that a caller learns
      * nothing about other streams by naming their ids.
      */
-    static long key(String workspace, String host, String path, String attemptId) {
-        return RendezvousOrder.hash(String.join("\n", workspace, host, path, attemptId));
+    private static long key(CallPlan plan, HttpServerRequest request, String attemptId) {
+        String workspace = plan.workspace().map(WorkspaceAccess::name).orElse("");
+        String host = request.getHeader("Host");
+        return RendezvousOrder.hash(String.join("\n", workspace, host == null ? "" : host, request.path(), attemptId));
     }
 
     /** Records a registered target. */
@@ -107,26 +114,36 @@
         versions.removed(id, MonotonicClock.nowMs());
     }
 
-    /** Records the target that a stream is about to be sent to, here and at the routers that keep copies. */
-    void sent(long key, StreamOrigin origin) {
+    /**
+     * Records the version that a call is about to be sent to, here and at the routers that keep copies, if its caller
+     * may resume the stream. This precedes any event, after which the caller may resume it at one of them.
+     */
+    void sending(CallPlan plan, HttpServerRequest request, String version) {
+        CallHead head = plan.head();
+        boolean resumable =
+                plan.route().kind() == CallKind.STREAM && plan.route().repeatable();
+        Optional<String> attemptId =
+                head.lastEventId().isEmpty() ? Optional.of(head.requestId()) : head.originAttemptId();
+        if (!resumable || attemptId.isEmpty() || version.isEmpty()) {
+            return;
+        }
+        long key = key(plan, request, attemptId.get());
+        StreamOrigin origin = new StreamOrigin(plan.service(), version);
         origins.add(key, origin);
         PeerMessage.StreamOriginCopy copy = new PeerMessage.StreamOriginCopy(key, origin);
         peers.get().firstConnected(key, COPIES).forEach(id -> peers.get().sendBestEffort(id, copy));
     }
 
     /**
-     * Finds the origin of a stream.
+     * Finds the origin of a stream that a caller resumes.
      *
-     * @param key identifies the attempt that began it; empty if its caller does not say
-     * @param plan the attempt to continue it
      * @param then gets the result, at once or later
      */
-    void find(Optional<Long> key, CallPlan plan, Consumer<Result> then) {
+    void find(CallPlan plan, HttpServerRequest request, Consumer<Result> then) {
+        Optional<Long> key = plan.head().originAttemptId().map(id -> key(plan, request, id));
         Optional<StreamOrigin> own = key.flatMap(origins::find);
-        if (own.isPresent()) {
+        if (own.isPresent() || key.isEmpty()) {
             finish("own", own, true, plan, then);
-        } else if (key.isEmpty()) {
-            finish("", Optional.empty(), true, plan, then);
         } else {
             ask(key.get(), plan, then);
         }
@@ -135,19 +152,18 @@
     private void ask(long key, CallPlan plan, Consumer<Result> then) {
         Query known = queries.get(key);
         Query query = known == null ? new Query() : known;
-        query.waiting.add(found -> finish("asked", found, query.allReplied, plan, then));
+        query.waiting.add(found -> finish("asked", found, query.complete && query.repliesLeft == 0, plan, then));
         if (known != null) {
             return;
         }
         List<String> asked = peers.get().firstConnected(key, ASKED);
-        int reachable = Math.min(ASKED, peers.get().expectedRouters() - 1);
-        query.repliesLeft = Math.max(asked.size(), reachable);
-        queries.put(key, query);
+        query.repliesLeft = asked.size();
+        query.complete = asked.size() >= Math.min(ASKED, peers.get().expectedRouters() - 1);
         if (asked.isEmpty()) {
-            query.allReplied = reachable == 0;
             end(key, query, Optional.empty());
             return;
         }
+        queries.put(key, query);
         query.timerId = vertx.setTimer(QUERY_TIMEOUT_MS, t -> end(key, query, Optional.empty()));
         PeerMessage.StreamOriginQuery message = new PeerMessage.StreamOriginQuery(routerId, key);
         asked.forEach(id -> peers.get().sendBestEffort(id, message));
@@ -206,8 +222,7 @@
         }
         reply.origin().ifPresent(o -> origins.add(reply.key(), o));
         query.repliesLeft--;
-        query.allReplied = query.repliesLeft == 0;
-        if (reply.origin().isPresent() || query.allReplied) {
+        if (reply.origin().isPresent() || query.repliesLeft == 0) {
             end(reply.key(), query, reply.origin());
         }
     }
