--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -111,16 +111,7 @@
                 metrics,
                 placement.retryLedger());
         this.streamOrigins = new StreamOrigins(vertx, settings.routerId(), () -> peers, this::longestCallMs, metrics);
-        this.peerDelegate = new PeerDelegate(
-                placement,
-                quotas,
-                crashQuarantine,
-                targetLimits,
-                rollouts,
-                retryRecognition,
-                streamOrigins,
-                metrics,
-                this::peerUsageChanged);
+        this.peerDelegate = new PeerDelegate(this, this::peerUsageChanged);
     }
 
     /** Starts listening for callers and other routers; calls are refused until a configuration arrives. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -33,24 +33,15 @@
      *
      * @param onChange called after a message was applied, so that waiting calls are reconsidered
      */
-    PeerDelegate(
-            Placement placement,
-            WorkspaceQuotas quotas,
-            CrashQuarantine crashQuarantine,
-            TargetRateLimits targetLimits,
-            Rollouts rollouts,
-            RetryRecognition retryRecognition,
-            StreamOrigins streamOrigins,
-            ForwardingMetrics metrics,
-            Runnable onChange) {
-        this.placement = placement;
-        this.quotas = quotas;
-        this.crashQuarantine = crashQuarantine;
-        this.targetLimits = targetLimits;
-        this.rollouts = rollouts;
-        this.retryRecognition = retryRecognition;
-        this.streamOrigins = streamOrigins;
-        this.metrics = metrics;
+    PeerDelegate(Forwarder forwarder, Runnable onChange) {
+        this.placement = forwarder.placement();
+        this.quotas = forwarder.quotas();
+        this.crashQuarantine = forwarder.crashQuarantine();
+        this.targetLimits = forwarder.targetLimits();
+        this.rollouts = forwarder.rollouts();
+        this.retryRecognition = forwarder.retryRecognition();
+        this.streamOrigins = forwarder.streamOrigins();
+        this.metrics = forwarder.metrics();
         this.onChange = onChange;
     }
 
