Streams that wait for a version are not announced to other routers

Found by reading: a call that continues a stream was reported to the other routers like any waiting call, and these know only its rank. Each would have reserved slots of any version for it, unusable for 40 ms each, as long as it waits. ContinuedStreamTest.isNotAnnouncedAsACallThatAnySlotSuits failed before ({2=1}). Such calls get the slots of their version that their own router frees or whose turn it has.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/WaitingCalls.java
@@ -86,18 +86,19 @@
         return out;
     }
 
-    /** Number of calls per {@link Precedence}. */
+    /** Like {@link #countSince}, for all calls. */
     Map<Integer, Integer> countByPrecedence(Predicate<Call> onTime) {
-        Map<Integer, Integer> out = new HashMap<>();
-        calls.forEach(e -> out.merge(precedence(e, onTime), 1, Integer::sum));
-        return out;
+        return countSince(Long.MAX_VALUE, onTime);
     }
 
-    /** Number of calls per {@link Precedence} that were queued at or before a point in time. */
+    /**
+     * Number of calls per {@link Precedence} that were queued at or before a point in time, for other routers. These
+     * would reserve slots of any version, so calls that continue streams are left out.
+     */
     Map<Integer, Integer> countSince(long sinceMs, Predicate<Call> onTime) {
         Map<Integer, Integer> out = new HashMap<>();
         calls.stream()
-                .filter(e -> e.sinceMs() <= sinceMs)
+                .filter(e -> e.sinceMs() <= sinceMs && e.call().version().isEmpty())
                 .forEach(e -> out.merge(precedence(e, onTime), 1, Integer::sum));
         return out;
     }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ContinuedStreamTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ContinuedStreamTest.java
@@ -210,6 +210,28 @@
         }
     }
 
+    @Nested
+    class BesideOtherRouters {
+
+        /**
+         * Guards against slots that other routers keep free for streams that cannot use them: they know only ranks, and
+         * would reserve slots of any version.
+         */
+        @Test
+        void isNotAnnouncedAsACallThatAnySlotSuits() {
+            placement.routerSeen("other", "here");
+            placement.peerUses("other", Map.of());
+            target("a", "v1");
+            target("b", "v2");
+            Verdict last = resume("v1", 0);
+            for (int i = 0; i < SLOTS && last instanceof Verdict.Send; i++) {
+                last = resume("v1", 0);
+            }
+            assertThat(last, instanceOf(Verdict.Wait.class));
+            assertThat(placement.news(0).forRouter("other").waiting().getOrDefault(SERVICE, Map.of()), is(Map.of()));
+        }
+    }
+
     @Nested
     class InABurst {
 
