--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/ResumedStreamTest.java
@@ -81,6 +81,11 @@
                 ""));
     }
 
+    private void addTwoVersions() {
+        addTarget("a", "v1", "here", Begin.HOLD);
+        addTarget("b", "v2", "here", Begin.HOLD);
+    }
+
     private void answer(HttpServerRequest request, String version, Begin begin) {
         String attempt = request.getHeader(OnyxCallProtocol.REQUEST_ID);
         HttpServerResponse response = request.response().setChunked(true);
@@ -197,6 +202,15 @@
         openStreams.forEach(HttpConnection::close);
     }
 
+    /** Takes all streams up at a router and checks that each goes on at the version that began it. */
+    private void assertAllGoOn(int router) {
+        for (int i = 0; i < STREAMS; i++) {
+            Received rest = resume(router, "t" + i, "s" + i);
+            assertThat(rest.status(), is(200));
+            assertThat(rest.versions(), is(versionsByStream.get("s" + i)));
+        }
+    }
+
     /** The versions that produced the complete events of a stream. */
     private static List<String> versions(Buffer stream) {
         return EVENT.matcher(stream.toString()).results().map(m -> m.group(1)).toList();
@@ -235,43 +249,32 @@
         /** Guards against streams that a caller takes up at another router and that go on at another version. */
         @Test
         void streamGoesOnAtTheVersionThatBeganIt() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             try (ForwardingNode first = start(0);
                     ForwardingNode second = start(1)) {
                 awaitConnected(first, second);
                 beginAndBreakStreams(0);
-                for (int i = 0; i < STREAMS; i++) {
-                    Received rest = resume(1, "t" + i, "s" + i);
-                    assertThat(rest.status(), is(200));
-                    assertThat(rest.versions(), is(versionsByStream.get("s" + i)));
-                }
+                assertAllGoOn(1);
             }
         }
 
         /** Guards against streams that are refused, or continued elsewhere, once the router that began them is gone. */
         @Test
         void streamOfARouterThatIsGoneGoesOn() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             ForwardingNode first = start(0);
             try (ForwardingNode second = start(1)) {
                 awaitConnected(first, second);
                 beginAndBreakStreams(0);
                 first.close();
-                for (int i = 0; i < STREAMS; i++) {
-                    Received rest = resume(1, "t" + i, "s" + i);
-                    assertThat(rest.status(), is(200));
-                    assertThat(rest.versions(), is(versionsByStream.get("s" + i)));
-                }
+                assertAllGoOn(1);
             }
         }
 
         /** Guards against a router that refuses, or guesses, because it has started after the stream began. */
         @Test
         void routerThatHasJustStartedAsksTheOthers() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             try (ForwardingNode first = start(0);
                     ForwardingNode second = start(1)) {
                 awaitConnected(first, second);
@@ -279,11 +282,7 @@
                 first.close();
                 try (ForwardingNode third = start(2)) {
                     awaitConnected(second, third);
-                    for (int i = 0; i < STREAMS; i++) {
-                        Received rest = resume(2, "t" + i, "s" + i);
-                        assertThat(rest.status(), is(200));
-                        assertThat(rest.versions(), is(versionsByStream.get("s" + i)));
-                    }
+                    assertAllGoOn(2);
                 }
             }
         }
@@ -291,8 +290,7 @@
         /** Guards against a caller that is turned away for good while a router that may know does not answer. */
         @Test
         void callerMayComeBackWhileARouterDoesNotAnswer() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             Launch.await(vertx.createNetServer().connectHandler(s -> {}).listen(peerPorts[1], "127.0.0.1"), TIMEOUT_MS);
             try (ForwardingNode first = start(0)) {
                 Conditions.await(
@@ -308,8 +306,7 @@
         /** Guards against a second break: the caller still names the attempt that brought the first event. */
         @Test
         void streamTakenUpTwiceStaysAtItsVersion() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             try (ForwardingNode first = start(0);
                     ForwardingNode second = start(1)) {
                 awaitConnected(first, second);
@@ -324,8 +321,7 @@
         /** Guards against a guess where no router knows which version began the stream. */
         @Test
         void streamOfUnknownOriginIsRefusedAtOnceAndNotSentRound() {
-            addTarget("a", "v1", "here", Begin.HOLD);
-            addTarget("b", "v2", "here", Begin.HOLD);
+            addTwoVersions();
             try (ForwardingNode first = start(0);
                     ForwardingNode second = start(1)) {
                 awaitConnected(first, second);
