Resumed streams wait until shortly before their callers would give up

Found by a load of our own: routers and targets crash, and 40 or 70 streams are taken up within a fraction of a second for the two targets left of their version. They waited as long as new calls, target latency plus 600 ms, and were refused; a new call has thirteen targets to begin at. A stream that is refused also costs what its caller has received before, and the caller takes the rest until a gap of 2 s, 4 target latencies or 8 gap targets; so it may wait that long, less 700 ms for the break and the connection.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
@@ -19,6 +19,15 @@
      */
     private static final long MAX_LATE_WAIT_MS = 600;
 
+    /** The shortest gap after which the caller of a stream gives up. */
+    private static final long MIN_GIVE_UP_GAP_MS = 2_000;
+
+    private static final int GIVE_UP_TARGET_LATENCIES = 4;
+    private static final int GIVE_UP_GAP_TARGETS = 8;
+
+    /** Part of the caller's gap that it takes to notice the break, to connect again and to get the next event. */
+    private static final long RESUMPTION_MS = 700;
+
     /** A smaller reduction of the caller's deadline is connection set-up time and not an earlier refusal. */
     private static final long MIN_RETRY_ELAPSED_MS = 25;
 
@@ -38,4 +47,18 @@
                 Math.min(arrivedAtMs + targetLatencyMs + MAX_LATE_WAIT_MS, responseDeadlineMs - MIN_REMAINING_MS);
         return new CallTimes(isRetry, firstByteDeadlineMs, queueDeadlineMs, responseDeadlineMs);
     }
+
+    /**
+     * Latest time until which a request that resumes a stream may be queued. It waits longer than one that begins, until
+     * its caller would give up: a refusal also costs what the caller has received before.
+     *
+     * @param targetLatencyMs time within which the first byte of a new stream is on time
+     * @param gapTargetMs longest gap between two events that counts as on time; 0 for no bound
+     */
+    public long resumedQueueDeadlineMs(long arrivedAtMs, long targetLatencyMs, long gapTargetMs) {
+        long giveUpMs = Math.max(
+                MIN_GIVE_UP_GAP_MS,
+                Math.max(GIVE_UP_TARGET_LATENCIES * targetLatencyMs, GIVE_UP_GAP_TARGETS * gapTargetMs));
+        return Math.min(arrivedAtMs + giveUpMs - RESUMPTION_MS, responseDeadlineMs - MIN_REMAINING_MS);
+    }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/CallTimesTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/CallTimesTest.java
@@ -44,6 +44,25 @@
         }
     }
 
+    @Nested
+    class ResumedStreams {
+
+        private final CallTimes times = CallTimes.of(0, 0, 400, 3_000);
+
+        /** Guards against a refusal while the caller would still take the rest of what it has in part. */
+        @Test
+        void waitUntilTheirCallerWouldGiveUp() {
+            assertThat(times.resumedQueueDeadlineMs(0, 400, 0), is(1_300L));
+            assertThat(times.resumedQueueDeadlineMs(0, 400, 400), is(2_500L));
+            assertThat(times.resumedQueueDeadlineMs(0, 800, 0), is(2_500L));
+        }
+
+        @Test
+        void doNotWaitPastTheirDeadline() {
+            assertThat(times.resumedQueueDeadlineMs(0, 4_000, 0), is(3_000 - CallTimes.MIN_REMAINING_MS));
+        }
+    }
+
     @Nested
     class Deadlines {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -112,9 +112,7 @@
                 .workspace(workspace.map(WorkspaceAccess::name).orElse(""))
                 .rank(rank(), times.isRetry())
                 .repeat(repeat)
-                .times(
-                        times.firstByteDeadlineMs(),
-                        responseBegun ? times.responseDeadlineMs() : times.queueDeadlineMs())
+                .times(times.firstByteDeadlineMs(), queueDeadlineMs(responseBegun, version.isPresent()))
                 .responseDeadline(times.responseDeadlineMs())
                 .gapTarget(route.gapTargetMs())
                 .work(model ? head.promptTokens() : 0, model ? expectedEvents : 0)
@@ -123,6 +121,15 @@
                 .build();
     }
 
+    private long queueDeadlineMs(boolean responseBegun, boolean continuesStream) {
+        if (responseBegun) {
+            return times.responseDeadlineMs();
+        }
+        return continuesStream
+                ? times.resumedQueueDeadlineMs(arrivedAtMs, route.targetLatencyMs(), route.gapTargetMs())
+                : times.queueDeadlineMs();
+    }
+
     /** Combined rank, 0 being the most urgent: ordered by the workspace's rank, then by the route's. */
     int rank() {
         int own = workspace.map(w -> w.priority().orElse(0)).orElse(0);
