--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Latest time until which a request that resumes a stream may be queued. It waits longer than one that begins, until
-     * its caller would give up: a refusal also costs what the caller has received before.
+     * Latest time until which a request that resumes a stream may be queued. It waits longer than one that begins,
+     * until its caller would give up: a refusal also costs what the caller has received before.
      *
      * @param targetLatencyMs time within which the first byte of a new stream is on time
      * @param gapTargetMs longest gap between two events that counts as on time; 0 for no bound
