Line of a call names the parts of its prompt that other requests may share

An operator could not tell from the log which calls share a part of their prompt; the fingerprint in the line is that of the whole request. Nothing is decided by them yet.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallHead.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallHead.java
@@ -13,6 +13,7 @@
  * @param promptTokens number of prompt tokens; 0 if not given
  * @param maxOutputTokens maximum number of tokens to generate; 0 if not given
  * @param expectedOutputTokens number of tokens that the caller expects; 0 if not given
+ * @param promptParts the parts of the prompt that other requests may share
  */
 public record CallHead(
         String requestId,
@@ -22,7 +23,8 @@
         Optional<String> originAttemptId,
         long promptTokens,
         long maxOutputTokens,
-        long expectedOutputTokens) {
+        long expectedOutputTokens,
+        PromptParts promptParts) {
 
     /** Sum of prompt and output tokens, or -1 if neither is given. */
     public long tokens() {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -122,7 +122,7 @@
         }
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
-                        + " deadlineMs=%d promptTokens=%d maxOutputTokens=%d expectedOutputTokens=%d"
+                        + " deadlineMs=%d promptTokens=%d promptParts=%s maxOutputTokens=%d expectedOutputTokens=%d"
                         + " resumedAfter=%s originAttempt=%s origin=%s target=%s targetVersion=%s targetCalls=%d"
                         + " limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
@@ -137,6 +137,7 @@
                 queuedRank,
                 plan == null ? -1 : plan.head().deadlineMs(),
                 plan == null ? -1 : plan.head().promptTokens(),
+                plan == null ? "" : String.join(",", plan.head().promptParts().shared()),
                 plan == null ? -1 : plan.head().maxOutputTokens(),
                 plan == null ? -1 : plan.head().expectedOutputTokens(),
                 plan == null ? "" : plan.head().lastEventId().orElse(""),
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/OnyxCallProtocol.java
@@ -13,6 +13,7 @@
 import org.onyxhinge.router.forward.CallProtocol;
 import org.onyxhinge.router.forward.HopHeaders;
 import org.onyxhinge.router.forward.OutgoingCall;
+import org.onyxhinge.router.forward.PromptParts;
 import org.onyxhinge.router.forward.ResponseHead;
 
 /**
@@ -27,6 +28,9 @@
     static final String PROMPT_TOKENS = "X-Onyx-Prompt-Tokens";
     static final String MAX_OUTPUT_TOKENS = "X-Onyx-Max-Output-Tokens";
     static final String EXPECTED_OUTPUT_TOKENS = "X-Onyx-Expected-Output-Tokens";
+    /** Ids of the parts that the prompt begins with, separated by commas. */
+    static final String PROMPT_PARTS = "X-Onyx-Prompt-Parts";
+
     static final String WORKSPACE = "X-Onyx-Workspace";
     static final String TARGET = "X-Onyx-Target";
     static final String NOT_RUN = "X-Onyx-Not-Run";
@@ -64,7 +68,8 @@
                     Optional.ofNullable(headers.get(RESUMES)),
                     number(headers, PROMPT_TOKENS, 0),
                     number(headers, MAX_OUTPUT_TOKENS, 0),
-                    number(headers, EXPECTED_OUTPUT_TOKENS, 0)));
+                    number(headers, EXPECTED_OUTPUT_TOKENS, 0),
+                    PromptParts.parse(headers.get(PROMPT_PARTS))));
         } catch (NumberFormatException e) {
             return Either.left(e.getMessage());
         }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
@@ -71,7 +71,8 @@
                 List.of(route),
                 List.of(new TargetService("mailroom", 1, false)),
                 List.of(workspace));
-        CallHead head = new CallHead("c", Optional.of("k1"), 1_000, Optional.empty(), Optional.empty(), 0, 0, 0);
+        CallHead head = new CallHead(
+                "c", Optional.of("k1"), 1_000, Optional.empty(), Optional.empty(), 0, 0, 0, PromptParts.none());
         return CallPlan.of(new CallCheck.Allowed(head, config, route, Optional.of(workspace)), NOW_MS, 0);
     }
 
