RequestFingerprint becomes Fingerprint

What may be at fault when a target ends is soon not only a whole request. Rename only, no change of behaviour or of what is sent and stored.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/BrokenCalls.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/BrokenCalls.java
@@ -31,7 +31,7 @@
     }
 
     /** Records a call whose connection broke; true for the first call of an incarnation whose end is not known yet. */
-    public boolean broke(RequestFingerprint request, String incarnation, long nowMs) {
+    public boolean broke(Fingerprint request, String incarnation, long nowMs) {
         byIncarnation.values().removeIf(calls -> nowMs - calls.getLast().atMs() > DETECTION_TIMEOUT_MS);
         List<Crash> calls = byIncarnation.computeIfAbsent(incarnation, i -> new ArrayList<>());
         calls.add(new Crash(request, incarnation, nowMs));
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Crash.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Crash.java
@@ -8,4 +8,4 @@
  * @param incarnation the incarnation of the target that ended
  * @param atMs when, in ms of this process's monotonic clock
  */
-public record Crash(RequestFingerprint request, String incarnation, long atMs) {}
+public record Crash(Fingerprint request, String incarnation, long atMs) {}
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/RequestFingerprint.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Fingerprint.java
@@ -12,10 +12,10 @@
  * @param high upper half of the hash
  * @param low lower half of the hash
  */
-public record RequestFingerprint(long high, long low) {
+public record Fingerprint(long high, long low) {
 
     /** Fingerprint of an unknown request. */
-    public static final RequestFingerprint NONE = new RequestFingerprint(0, 0);
+    public static final Fingerprint NONE = new Fingerprint(0, 0);
 
     /** Terminates each field so that adjacent fields cannot be confused; it does not occur in a request head. */
     private static final char TERMINATOR = '\0';
@@ -27,14 +27,14 @@
      * @param host host of the request
      * @param uri path and query of the request
      */
-    public static RequestFingerprint of(String workspace, String method, String host, String uri, byte[] body) {
+    public static Fingerprint of(String workspace, String method, String host, String uri, byte[] body) {
         byte[] head = (workspace + TERMINATOR + method + TERMINATOR + host + TERMINATOR + uri + TERMINATOR)
                 .getBytes(StandardCharsets.UTF_8);
         byte[] all = new byte[head.length + body.length];
         System.arraycopy(head, 0, all, 0, head.length);
         System.arraycopy(body, 0, all, head.length, body.length);
         long[] hash = MurmurHash3.hash128x64(all);
-        return new RequestFingerprint(hash[0], hash[1]);
+        return new Fingerprint(hash[0], hash[1]);
     }
 
     /** Returns 32 hexadecimal digits. */
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -39,8 +39,8 @@
     /** Maximum number of completely answered requests kept, at about 100 bytes each. */
     private static final int MAX_ANSWERED = 2_048;
 
-    private final Map<RequestFingerprint, Map<String, Long>> crashes = BoundedMap.dropOldest(MAX_SUSPECTS);
-    private final Map<RequestFingerprint, Long> answeredAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
+    private final Map<Fingerprint, Map<String, Long>> crashes = BoundedMap.dropOldest(MAX_SUSPECTS);
+    private final Map<Fingerprint, Long> answeredAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
 
     private Quarantine() {}
 
@@ -66,7 +66,7 @@
         if (nowMs - crash.atMs() >= CRASH_RETENTION_MS) {
             return Effect.NONE;
         }
-        RequestFingerprint request = crash.request();
+        Fingerprint request = crash.request();
         Long answered = answeredAtMs.get(request);
         if (answered != null && answered >= crash.atMs() - SUCCESS_GRACE_MS) {
             return Effect.CLEARED;
@@ -84,7 +84,7 @@
      *
      * @return whether it was a suspect
      */
-    public boolean answered(RequestFingerprint request, long atMs) {
+    public boolean answered(Fingerprint request, long atMs) {
         // Removed first so that reinsertion makes it the newest entry.
         Long before = answeredAtMs.remove(request);
         answeredAtMs.put(request, before == null ? atMs : Math.max(before, atMs));
@@ -99,25 +99,25 @@
     }
 
     /** Time since a request was last answered completely, if still known. */
-    public OptionalLong answeredAgoMs(RequestFingerprint request, long nowMs) {
+    public OptionalLong answeredAgoMs(Fingerprint request, long nowMs) {
         Long atMs = answeredAtMs.get(request);
         return atMs == null ? OptionalLong.empty() : OptionalLong.of(nowMs - atMs);
     }
 
     /** True while a request must not be sent to any target. */
-    public boolean holds(RequestFingerprint request, long nowMs) {
+    public boolean holds(Fingerprint request, long nowMs) {
         return crashesOf(request, nowMs) >= CRASH_THRESHOLD;
     }
 
     /**
      * False for a request that one more crash would quarantine, which should not be retried on its caller's behalf.
      */
-    public boolean mayBeRepeated(RequestFingerprint request, long nowMs) {
+    public boolean mayBeRepeated(Fingerprint request, long nowMs) {
         return crashesOf(request, nowMs) < CRASH_THRESHOLD - 1;
     }
 
     /** Number of targets known to have ended while running a request. */
-    public int crashesOf(RequestFingerprint request, long nowMs) {
+    public int crashesOf(Fingerprint request, long nowMs) {
         Map<String, Long> known = crashes.get(request);
         if (known == null) {
             return 0;
@@ -130,7 +130,7 @@
     }
 
     /** Time until a quarantined request may run again without further crashes; 0 for one that is not quarantined. */
-    public long endsInMs(RequestFingerprint request, long nowMs) {
+    public long endsInMs(Fingerprint request, long nowMs) {
         if (!holds(request, nowMs)) {
             return 0;
         }
@@ -152,7 +152,7 @@
 
     private List<Crash> crashesOfRequestsWithAtLeast(int minCrashes, long nowMs) {
         List<Crash> out = new ArrayList<>();
-        for (RequestFingerprint request : List.copyOf(crashes.keySet())) {
+        for (Fingerprint request : List.copyOf(crashes.keySet())) {
             if (crashesOf(request, nowMs) >= minCrashes) {
                 crashes.get(request).forEach((incarnation, atMs) -> out.add(new Crash(request, incarnation, atMs)));
             }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/FleetQuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/FleetQuarantineTest.java
@@ -29,7 +29,7 @@
     private static final long PEER_DELAY_MS = 5;
 
     private static final long DOWN_MS = 4_000;
-    private static final RequestFingerprint CRASHING = new RequestFingerprint(0, 0);
+    private static final Fingerprint CRASHING = new Fingerprint(0, 0);
 
     /** One simulated fleet. */
     private static final class Fleet {
@@ -38,7 +38,7 @@
         private final List<Quarantine> routers = new ArrayList<>();
         private final List<Engine> engines = new ArrayList<>();
         private final TreeMap<Long, List<Runnable>> events = new TreeMap<>();
-        private final Set<RequestFingerprint> quarantined = new HashSet<>();
+        private final Set<Fingerprint> quarantined = new HashSet<>();
         private int crashesByRequest;
         private int refused;
         private int submitted;
@@ -56,7 +56,7 @@
 
         private static final class Engine {
             private final int number;
-            private final Map<Object, RequestFingerprint> running = new HashMap<>();
+            private final Map<Object, Fingerprint> running = new HashMap<>();
             private int restarts;
             private boolean down;
 
@@ -81,7 +81,7 @@
         }
 
         /** A caller sends a request to a random router and does not retry when it is refused. */
-        void submit(RequestFingerprint request) {
+        void submit(Fingerprint request) {
             Quarantine router = routers.get(random.nextInt(routers.size()));
             Engine engine = engines.get(random.nextInt(engines.size()));
             submitted++;
@@ -110,7 +110,7 @@
         }
 
         private void complete(Quarantine router, Engine engine, Object call) {
-            RequestFingerprint request = engine.running.remove(call);
+            Fingerprint request = engine.running.remove(call);
             if (request != null && router.answered(request, nowMs)) {
                 broadcastAnswered(request, nowMs);
             }
@@ -143,7 +143,7 @@
             }
         }
 
-        private void broadcastAnswered(RequestFingerprint request, long atMs) {
+        private void broadcastAnswered(Fingerprint request, long atMs) {
             routers.forEach(r -> scheduleAt(nowMs + PEER_DELAY_MS, () -> r.answered(request, atMs)));
         }
 
@@ -161,8 +161,8 @@
             for (int i = 0; i < perSecond; i++) {
                 // One fifth of the load consists of ten popular requests.
                 boolean popular = i % 5 == 0;
-                RequestFingerprint request = new RequestFingerprint(
-                        popular ? 1 : 2, popular ? fleet.random.nextInt(10) : fleet.random.nextLong());
+                Fingerprint request =
+                        new Fingerprint(popular ? 1 : 2, popular ? fleet.random.nextInt(10) : fleet.random.nextLong());
                 fleet.scheduleAt(ms + fleet.random.nextInt(1_000), () -> fleet.submit(request));
             }
         }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
@@ -17,16 +17,16 @@
 
 class QuarantineTest {
 
-    private static final RequestFingerprint CRASHING = new RequestFingerprint(1, 2);
-    private static final RequestFingerprint CONCURRENT = new RequestFingerprint(3, 4);
+    private static final Fingerprint CRASHING = new Fingerprint(1, 2);
+    private static final Fingerprint CONCURRENT = new Fingerprint(3, 4);
 
     private final Quarantine quarantine = Quarantine.create();
 
-    private Quarantine.Effect crash(RequestFingerprint request, String incarnation, long atMs) {
+    private Quarantine.Effect crash(Fingerprint request, String incarnation, long atMs) {
         return quarantine.recordCrash(new Crash(request, incarnation, atMs), atMs);
     }
 
-    private void crashThree(RequestFingerprint request, long atMs) {
+    private void crashThree(Fingerprint request, long atMs) {
         crash(request, "a", atMs);
         crash(request, "b", atMs + 1);
         crash(request, "c", atMs + 2);
@@ -126,7 +126,7 @@
         @Test
         void suspectsAreBounded() {
             for (int i = 0; i < 10_000; i++) {
-                crash(new RequestFingerprint(i, 9), "a", i);
+                crash(new Fingerprint(i, 9), "a", i);
             }
             assertThat(quarantine.crashes(10_000).size(), lessThanOrEqualTo(4_096));
         }
@@ -157,7 +157,7 @@
         Collections.shuffle(reports, random);
         current[0] = second;
         reports.forEach(Runnable::run);
-        for (RequestFingerprint request : List.of(CRASHING, CONCURRENT)) {
+        for (Fingerprint request : List.of(CRASHING, CONCURRENT)) {
             assertThat(second.holds(request, 10_000), is(first.holds(request, 10_000)));
             assertThat(second.crashesOf(request, 10_000), is(first.crashesOf(request, 10_000)));
         }
@@ -202,15 +202,15 @@
 
         @Test
         void fingerprintDependsOnlyOnCallerMethodHostUriAndBody() {
-            RequestFingerprint one = RequestFingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {1});
-            assertThat(RequestFingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {1}), is(one));
-            List<RequestFingerprint> others = List.of(
-                    RequestFingerprint.of("v", "POST", "h", "/a/1?x", new byte[] {1}),
-                    RequestFingerprint.of("w", "PUT", "h", "/a/1?x", new byte[] {1}),
-                    RequestFingerprint.of("w", "POST", "g", "/a/1?x", new byte[] {1}),
-                    RequestFingerprint.of("w", "POST", "h", "/a/1", new byte[] {1}),
-                    RequestFingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {2}),
-                    RequestFingerprint.of("", "wPOST", "h", "/a/1?x", new byte[] {1}));
+            Fingerprint one = Fingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {1});
+            assertThat(Fingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {1}), is(one));
+            List<Fingerprint> others = List.of(
+                    Fingerprint.of("v", "POST", "h", "/a/1?x", new byte[] {1}),
+                    Fingerprint.of("w", "PUT", "h", "/a/1?x", new byte[] {1}),
+                    Fingerprint.of("w", "POST", "g", "/a/1?x", new byte[] {1}),
+                    Fingerprint.of("w", "POST", "h", "/a/1", new byte[] {1}),
+                    Fingerprint.of("w", "POST", "h", "/a/1?x", new byte[] {2}),
+                    Fingerprint.of("", "wPOST", "h", "/a/1?x", new byte[] {1}));
             assertThat(others.contains(one), is(false));
             assertThat(one.toString().length(), is(32));
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -9,7 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -66,7 +66,7 @@
         String routeName();
 
         /** Identifies what the caller asks for, independent of the request id. */
-        RequestFingerprint fingerprint();
+        Fingerprint fingerprint();
 
         /** Called with what the response headers say about the target itself. */
         void targetNotices(ResponseHead head);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -6,7 +6,7 @@
 import org.onyxhinge.core.limit.QuotaState;
 import org.onyxhinge.core.place.AdvertisedLimit;
 import org.onyxhinge.core.place.WaitEstimate;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.route.WorkspaceAccess;
 
 /** The log line and the metrics of one call, written when it ends. */
@@ -17,10 +17,10 @@
 
     String requestId = "";
     /**
-     * Identifies what the caller asked for, independent of the request id; {@link RequestFingerprint#NONE} until the
+     * Identifies what the caller asked for, independent of the request id; {@link Fingerprint#NONE} until the
      * body has been read.
      */
-    RequestFingerprint fingerprint = RequestFingerprint.NONE;
+    Fingerprint fingerprint = Fingerprint.NONE;
 
     /** Version that began the stream which the caller resumes, and how that is known. */
     String origin = "";
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -8,7 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.CallTimes;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.route.ForwardingConfig;
 import org.onyxhinge.core.route.Route;
 import org.onyxhinge.core.route.TargetService;
@@ -137,9 +137,9 @@
     }
 
     /** Identifies what the caller asks for, independent of the request id. */
-    RequestFingerprint fingerprint(HttpServerRequest request, Buffer body) {
+    Fingerprint fingerprint(HttpServerRequest request, Buffer body) {
         String host = request.getHeader("Host");
-        return RequestFingerprint.of(
+        return Fingerprint.of(
                 workspace.map(WorkspaceAccess::name).orElse(""),
                 request.method().name(),
                 host == null ? "" : host,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
@@ -7,7 +7,7 @@
 import io.vertx.core.http.HttpConnection;
 import org.onyxhinge.core.place.TargetRole;
 import org.onyxhinge.core.place.TargetState;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 
 /** The exchanges with callers that have no final response yet, and their attempts at targets. */
 final class CallsInProgress {
@@ -58,7 +58,7 @@
     }
 
     /** Ends the exchanges of a request that has just been quarantined. */
-    void quarantined(RequestFingerprint request) {
+    void quarantined(Fingerprint request) {
         exchanges.stream().filter(x -> x.fingerprint().equals(request)).toList().forEach(Exchange::quarantined);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -11,8 +11,8 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.BrokenCalls;
 import org.onyxhinge.core.quarantine.Crash;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.quarantine.Quarantine;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -37,7 +37,7 @@
     private final TargetConnections connections;
     private final ForwardingMetrics metrics;
     private final Consumer<PeerMessage.RouterToRouter> broadcast;
-    private final Consumer<RequestFingerprint> quarantined;
+    private final Consumer<Fingerprint> quarantined;
 
     /**
      * Creates an instance that knows of no crash.
@@ -50,7 +50,7 @@
             TargetConnections connections,
             ForwardingMetrics metrics,
             Consumer<PeerMessage.RouterToRouter> broadcast,
-            Consumer<RequestFingerprint> quarantined) {
+            Consumer<Fingerprint> quarantined) {
         this.vertx = vertx;
         this.connections = connections;
         this.metrics = metrics;
@@ -62,7 +62,7 @@
      * Handles a connection that broke while a target executed a request, and finds out whether the target has
      * terminated.
      */
-    void connectionBroke(RequestFingerprint request, TargetState target) {
+    void connectionBroke(Fingerprint request, TargetState target) {
         // A draining target may terminate with calls in progress; that does not count against them.
         if (target.isReady() && brokenCalls.broke(request, target.incarnation(), MonotonicClock.nowMs())) {
             probe(target, MAX_PROBES);
@@ -114,13 +114,13 @@
         }
     }
 
-    private void broadcastAnswered(RequestFingerprint request, long nowMs) {
+    private void broadcastAnswered(Fingerprint request, long nowMs) {
         quarantine
                 .answeredAgoMs(request, nowMs)
                 .ifPresent(agoMs -> broadcast.accept(new PeerMessage.SuspectCompleted(request, agoMs)));
     }
 
-    private void onQuarantined(RequestFingerprint request, long nowMs) {
+    private void onQuarantined(Fingerprint request, long nowMs) {
         metrics.event("requests.quarantined");
         LOG.warnf(
                 "request quarantined fingerprint=%s crashes=\"%s\" forMs=%d",
@@ -128,7 +128,7 @@
         quarantined.accept(request);
     }
 
-    private String crashesOf(RequestFingerprint request, long nowMs) {
+    private String crashesOf(Fingerprint request, long nowMs) {
         return quarantine.crashesOfQuarantined(nowMs).stream()
                 .filter(c -> c.request().equals(request))
                 .map(c -> c.incarnation() + " " + (nowMs - c.atMs()) + " ms ago")
@@ -136,7 +136,7 @@
     }
 
     /** Records that a target returned a complete response to a request. */
-    void answered(RequestFingerprint request) {
+    void answered(Fingerprint request) {
         long nowMs = MonotonicClock.nowMs();
         if (quarantine.answered(request, nowMs)) {
             LOG.infof("request cleared fingerprint=%s", request);
@@ -145,17 +145,17 @@
     }
 
     /** True while a request must not be sent to any target. */
-    boolean isQuarantined(RequestFingerprint request) {
+    boolean isQuarantined(Fingerprint request) {
         return quarantine.holds(request, MonotonicClock.nowMs());
     }
 
     /** Whether the router itself may send a request once more. */
-    boolean mayBeRepeated(RequestFingerprint request) {
+    boolean mayBeRepeated(Fingerprint request) {
         return quarantine.mayBeRepeated(request, MonotonicClock.nowMs());
     }
 
     /** Time until a quarantined request may be executed again. */
-    long endsInMs(RequestFingerprint request) {
+    long endsInMs(Fingerprint request) {
         return quarantine.endsInMs(request, MonotonicClock.nowMs());
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -12,7 +12,7 @@
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -32,7 +32,7 @@
     private final ExchangeIntake intake;
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
-    private RequestFingerprint fingerprint = RequestFingerprint.NONE;
+    private Fingerprint fingerprint = Fingerprint.NONE;
     private boolean repeated;
     private Call waiting;
     private Attempt attempt;
@@ -97,7 +97,7 @@
      *
      * @param repeat whether the caller repeats the request before the time it was told
      */
-    void received(Buffer whole, RequestFingerprint identity, boolean repeat) {
+    void received(Buffer whole, Fingerprint identity, boolean repeat) {
         body = whole;
         fingerprint = identity;
         repeated = repeat;
@@ -213,7 +213,7 @@
     }
 
     @Override
-    public RequestFingerprint fingerprint() {
+    public Fingerprint fingerprint() {
         return fingerprint;
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -5,7 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -94,7 +94,7 @@
     }
 
     private void recordForRepeats(long retryAfterMs) {
-        if (!exchange.fingerprint().equals(RequestFingerprint.NONE)) {
+        if (!exchange.fingerprint().equals(Fingerprint.NONE)) {
             long key = exchange.fingerprint().low();
             long deadlineMs = exchange.plan().callerDeadlineMs();
             forwarder.repeats().ifPresent(r -> r.refused(key, retryAfterMs, deadlineMs, MonotonicClock.nowMs()));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -4,7 +4,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -81,13 +81,13 @@
         if (end.finished()) {
             return;
         }
-        RequestFingerprint fingerprint = exchange.plan().fingerprint(request, body);
+        Fingerprint fingerprint = exchange.plan().fingerprint(request, body);
         exchange.planned(forwarder.retryRecognition().recognize(exchange.plan(), fingerprint));
         exchange.received(body, fingerprint, isRepeat(fingerprint));
         admit();
     }
 
-    private boolean isRepeat(RequestFingerprint fingerprint) {
+    private boolean isRepeat(Fingerprint fingerprint) {
         long deadlineMs = exchange.plan().callerDeadlineMs();
         int early = forwarder
                 .repeats()
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
@@ -10,7 +10,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.onyxhinge.core.quarantine.Crash;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 
 /**
  * The crashes of quarantined requests, as stored in the key-value service for routers that start later.
@@ -29,7 +29,7 @@
      * @param incarnation the incarnation of the target that ended
      * @param atEpochMs time of the crash in epoch ms, by the writer's clock
      */
-    record Entry(RequestFingerprint request, String incarnation, long atEpochMs) {
+    record Entry(Fingerprint request, String incarnation, long atEpochMs) {
 
         boolean sameCrash(Entry other) {
             return request.equals(other.request) && incarnation.equals(other.incarnation);
@@ -90,7 +90,7 @@
             }
             List<Entry> entries = new ArrayList<>();
             for (int i = 0; i < size; i++) {
-                RequestFingerprint request = new RequestFingerprint(in.unpackLong(), in.unpackLong());
+                Fingerprint request = new Fingerprint(in.unpackLong(), in.unpackLong());
                 entries.add(new Entry(request, in.unpackString(), in.unpackLong()));
             }
             return Either.right(new QuarantineRecord(entries));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RetryRecognition.java
@@ -9,7 +9,7 @@
 import org.onyxhinge.core.admit.Refusal;
 import org.onyxhinge.core.admit.RefusedRequests;
 import org.onyxhinge.core.admit.RetryLedger;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -51,7 +51,7 @@
     }
 
     /** Returns the plan with the deadlines that follow from the caller's first attempt. */
-    CallPlan recognize(CallPlan plan, RequestFingerprint fingerprint) {
+    CallPlan recognize(CallPlan plan, Fingerprint fingerprint) {
         if (!enabled) {
             return plan;
         }
@@ -64,8 +64,8 @@
     }
 
     /** Records that a request is refused and that its caller is told to retry. */
-    void refused(CallPlan plan, RequestFingerprint fingerprint, long retryAfterMs) {
-        if (!enabled || fingerprint.equals(RequestFingerprint.NONE)) {
+    void refused(CallPlan plan, Fingerprint fingerprint, long retryAfterMs) {
+        if (!enabled || fingerprint.equals(Fingerprint.NONE)) {
             return;
         }
         Refusal refusal = new Refusal(
@@ -109,7 +109,7 @@
         return refused.size();
     }
 
-    private static int key(RequestFingerprint fingerprint) {
+    private static int key(Fingerprint fingerprint) {
         return (int) fingerprint.low();
     }
 }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/QuarantineRecordTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/QuarantineRecordTest.java
@@ -6,7 +6,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.core.quarantine.Crash;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -15,7 +15,7 @@
 
     private static QuarantineRecord record(long high, String incarnation, long atEpochMs) {
         return new QuarantineRecord(
-                List.of(new QuarantineRecord.Entry(new RequestFingerprint(high, 2), incarnation, atEpochMs)));
+                List.of(new QuarantineRecord.Entry(new Fingerprint(high, 2), incarnation, atEpochMs)));
     }
 
     @Property(tries = 100, seed = "33")
@@ -37,7 +37,7 @@
 
     @Test
     void coversIgnoresCrashTimes() {
-        QuarantineRecord one = QuarantineRecord.of(List.of(new Crash(new RequestFingerprint(1, 2), "a", 0)), 0);
+        QuarantineRecord one = QuarantineRecord.of(List.of(new Crash(new Fingerprint(1, 2), "a", 0)), 0);
         assertThat(record(1, "a", 7).covers(one), is(true));
         assertThat(record(1, "b", 7).covers(one), is(false));
         assertThat(one.covers(new QuarantineRecord(List.of())), is(true));
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -21,7 +21,7 @@
 import org.onyxhinge.core.place.PeerUpdateSchedule;
 import org.onyxhinge.core.place.SlotRequest;
 import org.onyxhinge.core.place.TargetUse;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -52,7 +52,7 @@
         private final Set<PeerMessage.CrashReport> receivedCrashes = ConcurrentHashMap.newKeySet();
         private final Set<PeerMessage.LimitReport> limits = ConcurrentHashMap.newKeySet();
         private final Set<PeerMessage.LimitReport> receivedLimits = ConcurrentHashMap.newKeySet();
-        private final Set<RequestFingerprint> answeredRequests = ConcurrentHashMap.newKeySet();
+        private final Set<Fingerprint> answeredRequests = ConcurrentHashMap.newKeySet();
         private final Set<PeerMessage.RolloutUpdate> rolloutUpdates = ConcurrentHashMap.newKeySet();
         private final Set<PeerMessage.RolloutReport> rolloutReports = ConcurrentHashMap.newKeySet();
         private volatile boolean near = true;
@@ -260,8 +260,8 @@
     /** Guards against a router that was not running at the time of a crash forwarding the request that caused it. */
     @Test
     void broadcastsCrashesAndSendsThemToNewRouters() {
-        PeerMessage.CrashReport first = new PeerMessage.CrashReport(new RequestFingerprint(1, 2), "t1", 10);
-        PeerMessage.CrashReport second = new PeerMessage.CrashReport(new RequestFingerprint(1, 2), "t2", 10);
+        PeerMessage.CrashReport first = new PeerMessage.CrashReport(new Fingerprint(1, 2), "t1", 10);
+        PeerMessage.CrashReport second = new PeerMessage.CrashReport(new Fingerprint(1, 2), "t2", 10);
         Router a = new Router("a");
         Router b = new Router("b");
         a.crashes.add(first);
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/QuarantineBenchmark.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/QuarantineBenchmark.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.onyxhinge.core.quarantine.Crash;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.quarantine.Quarantine;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Level;
@@ -40,7 +40,7 @@
     public void fill() {
         quarantine = Quarantine.create();
         for (int i = 0; i < suspects; i++) {
-            quarantine.recordCrash(new Crash(new RequestFingerprint(i, i), "t", NOW_MS), NOW_MS);
+            quarantine.recordCrash(new Crash(new Fingerprint(i, i), "t", NOW_MS), NOW_MS);
         }
         body = new byte[bodyBytes];
     }
@@ -50,7 +50,7 @@
     public boolean fingerprintAndLooks() {
         body[0] = (byte) call;
         body[1] = (byte) (call++ >> Byte.SIZE);
-        RequestFingerprint request = RequestFingerprint.of("agency", "POST", "letters.example", "/draft/1", body);
+        Fingerprint request = Fingerprint.of("agency", "POST", "letters.example", "/draft/1", body);
         boolean held = quarantine.holds(request, NOW_MS) || quarantine.holds(request, NOW_MS);
         return held || quarantine.answered(request, NOW_MS);
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -12,7 +12,7 @@
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.wire.frame.WireException;
 
@@ -267,12 +267,12 @@
         return new PeerMessage.TargetLimits(limits);
     }
 
-    private static void writeFingerprint(MessagePacker p, RequestFingerprint f) throws IOException {
+    private static void writeFingerprint(MessagePacker p, Fingerprint f) throws IOException {
         p.packLong(f.high()).packLong(f.low());
     }
 
-    private static RequestFingerprint readFingerprint(MessageUnpacker u) throws IOException {
-        return new RequestFingerprint(u.unpackLong(), u.unpackLong());
+    private static Fingerprint readFingerprint(MessageUnpacker u) throws IOException {
+        return new Fingerprint(u.unpackLong(), u.unpackLong());
     }
 
     static <T> T enumValue(T[] all, int ordinal) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -8,7 +8,7 @@
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.rollout.AnswerCell;
 import org.onyxhinge.core.rollout.AnswerCount;
@@ -204,7 +204,7 @@
      * @param incarnation incarnation of the target that crashed
      * @param agoMs time since the crash; a relative time, because the clocks of routers differ
      */
-    record CrashReport(RequestFingerprint request, String incarnation, long agoMs) {}
+    record CrashReport(Fingerprint request, String incarnation, long agoMs) {}
 
     /**
      * A request suspected of crashing targets was completed by a target.
@@ -212,7 +212,7 @@
      * @param request fingerprint of the request
      * @param agoMs time since its completion
      */
-    record SuspectCompleted(RequestFingerprint request, long agoMs) implements RouterToRouter {}
+    record SuspectCompleted(Fingerprint request, long agoMs) implements RouterToRouter {}
 
     /**
      * Changes of the rate limits that targets advertise in their responses.
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -14,7 +14,7 @@
 import org.onyxhinge.core.order.OrderStatus;
 import org.onyxhinge.core.place.ServiceRates;
 import org.onyxhinge.core.place.TargetUse;
-import org.onyxhinge.core.quarantine.RequestFingerprint;
+import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.resume.StreamOrigin;
 import org.onyxhinge.core.rollout.AnswerCell;
 import org.onyxhinge.core.rollout.AnswerCount;
@@ -107,8 +107,7 @@
         PeerMessage.RefusedRequests refused =
                 new PeerMessage.RefusedRequests(List.of(new PeerMessage.RefusedRequest(7, startId, -3, 900)));
         assertThat(PeerCodec.decode(PeerCodec.encode(refused)), equalTo(refused));
-        PeerMessage.SuspectCompleted answered =
-                new PeerMessage.SuspectCompleted(new RequestFingerprint(startId, 2), startId);
+        PeerMessage.SuspectCompleted answered = new PeerMessage.SuspectCompleted(new Fingerprint(startId, 2), startId);
         assertThat(PeerCodec.decode(PeerCodec.encode(answered)), equalTo(answered));
     }
 
@@ -162,7 +161,7 @@
     }
 
     private static PeerMessage.Crashes crashes(long number) {
-        RequestFingerprint request = new RequestFingerprint(number, -number);
+        Fingerprint request = new Fingerprint(number, -number);
         return new PeerMessage.Crashes(List.of(
                 new PeerMessage.CrashReport(request, "w1@7", 90), new PeerMessage.CrashReport(request, "w2", number)));
     }
