--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Crash.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Crash.java
@@ -1,11 +1,11 @@
 package org.onyxhinge.core.quarantine;
 
 /**
- * A target that ended while running a request. Every request that it ran is a suspect; the one at fault is identified
- * by its presence in further crashes.
+ * A target that ended while running a request. The request and every shared part of its prompt are suspects; the one at
+ * fault is identified by its presence in further crashes.
  *
- * @param request the request
+ * @param suspect the request or the part
  * @param incarnation the incarnation of the target that ended
  * @param atMs when, in ms of this process's monotonic clock
  */
-public record Crash(Fingerprint request, String incarnation, long atMs) {}
+public record Crash(Fingerprint suspect, String incarnation, long atMs) {}
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Fingerprint.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Fingerprint.java
@@ -6,8 +6,8 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
- * Identity of a request across retries by its caller: a hash of its content and its workspace. Ids and deadlines change
- * with each retry and are excluded.
+ * Identity of something that may be at fault when a target ends: a request across retries by its caller, or a part that
+ * the prompts of different requests share.
  *
  * @param high upper half of the hash
  * @param low lower half of the hash
@@ -20,8 +20,12 @@
     /** Terminates each field so that adjacent fields cannot be confused; it does not occur in a request head. */
     private static final char TERMINATOR = '\0';
 
+    /** Begins the hashed bytes of a part. Those of a request never begin with it, since a method has no control character. */
+    private static final String PART_PREFIX = "" + TERMINATOR + TERMINATOR + TERMINATOR;
+
     /**
-     * Computes the fingerprint of a request.
+     * Computes the fingerprint of a request from its content and its workspace. Ids and deadlines change with each retry
+     * and are excluded.
      *
      * @param workspace its caller's workspace; empty on keyless routes
      * @param host host of the request
@@ -33,7 +37,19 @@
         byte[] all = new byte[head.length + body.length];
         System.arraycopy(head, 0, all, 0, head.length);
         System.arraycopy(body, 0, all, head.length, body.length);
-        long[] hash = MurmurHash3.hash128x64(all);
+        return hashOf(all);
+    }
+
+    /**
+     * Computes the fingerprint of a part of a prompt. It does not depend on the workspace: whoever sends the part, the
+     * targets read the same tokens.
+     */
+    public static Fingerprint ofPromptPart(String partId) {
+        return hashOf((PART_PREFIX + partId).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Fingerprint hashOf(byte[] bytes) {
+        long[] hash = MurmurHash3.hash128x64(bytes);
         return new Fingerprint(hash[0], hash[1]);
     }
 
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -1,46 +1,58 @@
 package org.onyxhinge.core.quarantine;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import org.onyxhinge.core.collect.BoundedMap;
 
 /**
- * Requests that are withheld from targets because they crash the targets that run them. A request is quarantined while
- * at least {@link #CRASH_THRESHOLD} crashes of different targets within {@link #CRASH_RETENTION_MS} are known for it,
- * provided that it was not answered completely since, or shortly before, those crashes. The state does not depend on
- * the order in which routers learn of crashes, and a crash reported twice counts once.
+ * Requests and parts of prompts that are withheld from targets because they crash the targets that run them.
  *
- * <p>Crashes expire one by one, so a quarantined request may occasionally run again, which shows whether the targets
- * have been fixed.
+ * <p>The evidence against a suspect is the crashes of different targets within {@link #CRASH_RETENTION_MS} that involved
+ * it. A complete answer refutes the crashes before it was sent, and weakens those that follow soon after: popular
+ * suspects run in many places at once. A suspect is quarantined by {@link #CRASH_THRESHOLD} crashes, or by
+ * {@link #WEAK_CRASH_THRESHOLD} if all of them are weakened. The state does not depend on the order in which routers
+ * learn of crashes and answers, and a crash reported twice counts once.
+ *
+ * <p>Crashes expire one by one, so what is quarantined may occasionally run again, which shows whether the targets have
+ * been fixed.
  *
  * <p>Not thread-safe: confined to one thread. Times are milliseconds of one monotonic clock.
  */
 public final class Quarantine {
 
-    /** A request that merely ran alongside the one at fault is rarely involved in this many crashes. */
+    /** A suspect that merely ran alongside the one at fault is rarely involved in this many crashes. */
     static final int CRASH_THRESHOLD = 3;
 
+    /** The same for a suspect that was answered shortly before, unless the crashes have another explanation. */
+    static final int WEAK_CRASH_THRESHOLD = 5;
+
     /** How long a crash counts. */
     static final long CRASH_RETENTION_MS = 600_000;
 
-    /**
-     * A request answered completely this shortly before a crash is not blamed: popular requests run in many places at
-     * once.
-     */
+    /** How long after a call was sent that was answered completely the evidence of a crash is weak. */
     static final long SUCCESS_GRACE_MS = 60_000;
 
-    /** Maximum number of suspected requests; a crash yields as many suspects as the target had slots. */
+    /** Targets that end within this time may have ended together, for example with the host they run on. */
+    static final long SIMULTANEOUS_MS = 100;
+
+    /** Time of an answer to a suspect that has not been answered; far enough from the limits to be added to. */
+    public static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+    /** Maximum number of suspects; a crash yields a few for each slot of the target. */
     private static final int MAX_SUSPECTS = 4_096;
 
-    /** Maximum number of completely answered requests kept, at about 100 bytes each. */
-    private static final int MAX_ANSWERED = 2_048;
+    /** Maximum number of completely answered suspects kept, at about 100 bytes each. */
+    private static final int MAX_ANSWERED = 8_192;
+
+    /** The suspects whose crashes are the most recent are kept. */
+    private final Map<Fingerprint, CrashHistory> crashes = BoundedMap.dropOldest(MAX_SUSPECTS);
 
-    private final Map<Fingerprint, Map<String, Long>> crashes = BoundedMap.dropOldest(MAX_SUSPECTS);
-    private final Map<Fingerprint, Long> answeredAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
+    /** When the last call was sent that was answered completely. */
+    private final Map<Fingerprint, Long> answeredSentAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
 
     private Quarantine() {}
 
@@ -49,117 +61,220 @@
         return new Quarantine();
     }
 
+    /** What a crash says about a suspect, given when its last answered call was sent. */
+    private enum Evidence {
+        /** The suspect has been answered since. */
+        REFUTED,
+        /** The suspect was answered shortly before. */
+        WEAK,
+        /** No answer speaks for the suspect. */
+        FIRM
+    }
+
     /** Effect of a reported crash. */
     public enum Effect {
         /** The crash was already known, or is too old to count. */
         NONE,
-        /** The request is not blamed, because it was answered completely at about that time. */
+        /** The suspect is not blamed, because it was answered completely at about that time. */
         CLEARED,
-        /** The request is a suspect. */
+        /** The crash counts against the suspect. */
         SUSPECTED,
-        /** The request is quarantined as of this crash. */
+        /** The suspect is quarantined as of this crash. */
         QUARANTINED
     }
 
+    /** Whether a request may be sent to a target. */
+    public enum Decision {
+        /** Nothing in it is quarantined. */
+        SEND,
+        /** The request must not be sent. */
+        WITHHOLD
+    }
+
     /** Records a crash, either observed here or reported by a peer. */
     public Effect recordCrash(Crash crash, long nowMs) {
         if (nowMs - crash.atMs() >= CRASH_RETENTION_MS) {
             return Effect.NONE;
         }
-        Fingerprint request = crash.request();
-        Long answered = answeredAtMs.get(request);
-        if (answered != null && answered >= crash.atMs() - SUCCESS_GRACE_MS) {
+        Fingerprint suspect = crash.suspect();
+        long answeredMs = answeredSentAtMs(suspect);
+        if (evidence(crash.atMs(), answeredMs) == Evidence.REFUTED) {
             return Effect.CLEARED;
         }
-        int before = crashesOf(request, nowMs);
-        Map<String, Long> known = crashes.computeIfAbsent(request, r -> new HashMap<>());
-        if (known.putIfAbsent(crash.incarnation(), crash.atMs()) != null) {
-            return Effect.NONE;
+        boolean heldBefore = holds(suspect, nowMs);
+        int firmBefore = crashesOf(suspect, nowMs);
+        // Removed first so that reinsertion makes it the newest entry.
+        CrashHistory history = Optional.ofNullable(crashes.remove(suspect)).orElseGet(CrashHistory::new);
+        crashes.put(suspect, history);
+        boolean known = history.involves(crash.incarnation());
+        history.add(crash.incarnation(), crash.atMs());
+        if (!heldBefore && holds(suspect, nowMs)) {
+            return Effect.QUARANTINED;
         }
-        return before == CRASH_THRESHOLD - 1 ? Effect.QUARANTINED : Effect.SUSPECTED;
+        if (crashesOf(suspect, nowMs) > firmBefore) {
+            return Effect.SUSPECTED;
+        }
+        return known ? Effect.NONE : Effect.CLEARED;
+    }
+
+    private long answeredSentAtMs(Fingerprint suspect) {
+        return answeredSentAtMs.getOrDefault(suspect, NEVER_MS);
+    }
+
+    private static Evidence evidence(long crashAtMs, long answeredMs) {
+        if (crashAtMs <= answeredMs) {
+            return Evidence.REFUTED;
+        }
+        return crashAtMs <= answeredMs + SUCCESS_GRACE_MS ? Evidence.WEAK : Evidence.FIRM;
     }
 
     /**
-     * Records that a request was answered completely.
+     * Whether an answer says more about a crash of the same suspect than an earlier one does.
      *
-     * @return whether it was a suspect
+     * @param answeredMs when the answered call was sent
+     * @param earlierMs when the call of the earlier answer was sent
      */
-    public boolean answered(Fingerprint request, long atMs) {
+    public static boolean saysMore(long answeredMs, long earlierMs, Crash crash) {
+        return evidence(crash.atMs(), answeredMs).compareTo(evidence(crash.atMs(), earlierMs)) < 0;
+    }
+
+    /**
+     * Records that a suspect was answered completely.
+     *
+     * @param sentAtMs when the answered call was sent
+     * @return whether this refutes or weakens a crash
+     */
+    public boolean answered(Fingerprint suspect, long sentAtMs) {
         // Removed first so that reinsertion makes it the newest entry.
-        Long before = answeredAtMs.remove(request);
-        answeredAtMs.put(request, before == null ? atMs : Math.max(before, atMs));
-        Map<String, Long> known = crashes.get(request);
-        if (known == null || !known.values().removeIf(crashedAtMs -> crashedAtMs <= atMs + SUCCESS_GRACE_MS)) {
+        Long before = answeredSentAtMs.remove(suspect);
+        long newest = before == null ? sentAtMs : Math.max(before, sentAtMs);
+        answeredSentAtMs.put(suspect, newest);
+        CrashHistory history = crashes.get(suspect);
+        if (history == null) {
             return false;
         }
-        if (known.isEmpty()) {
-            crashes.remove(request);
+        int firmBefore = history.countAfter((before == null ? NEVER_MS : before) + SUCCESS_GRACE_MS);
+        boolean refuted = history.removeUntil(newest);
+        boolean weakened = history.countAfter(newest + SUCCESS_GRACE_MS) < firmBefore;
+        if (history.isEmpty()) {
+            crashes.remove(suspect);
         }
-        return true;
+        return refuted || weakened;
     }
 
-    /** Time since a request was last answered completely, if still known. */
-    public OptionalLong answeredAgoMs(Fingerprint request, long nowMs) {
-        Long atMs = answeredAtMs.get(request);
+    /** Time since the last completely answered call of a suspect was sent, if still known. */
+    public OptionalLong answeredAgoMs(Fingerprint suspect, long nowMs) {
+        Long atMs = answeredSentAtMs.get(suspect);
         return atMs == null ? OptionalLong.empty() : OptionalLong.of(nowMs - atMs);
     }
 
-    /** True while a request must not be sent to any target. */
-    public boolean holds(Fingerprint request, long nowMs) {
-        return crashesOf(request, nowMs) >= CRASH_THRESHOLD;
+    /** True while a suspect is quarantined. */
+    public boolean holds(Fingerprint suspect, long nowMs) {
+        return holdsFirmly(suspect, nowMs) || holdsOnWeakEvidence(suspect, nowMs);
+    }
+
+    private boolean holdsFirmly(Fingerprint suspect, long nowMs) {
+        return crashesOf(suspect, nowMs) >= CRASH_THRESHOLD;
+    }
+
+    /** Crashes that involved a firmly quarantined suspect say nothing about the others. */
+    private boolean holdsOnWeakEvidence(Fingerprint suspect, long nowMs) {
+        CrashHistory history = crashes.get(suspect);
+        if (history == null || history.size() < WEAK_CRASH_THRESHOLD) {
+            return false;
+        }
+        List<CrashHistory> firm = crashes.entrySet().stream()
+                .filter(e -> !e.getKey().equals(suspect) && holdsFirmlyNow(e.getKey(), e.getValue(), nowMs))
+                .map(Map.Entry::getValue)
+                .toList();
+        return history.distinctTimes(i -> firm.stream().noneMatch(f -> f.involves(i)), SIMULTANEOUS_MS)
+                >= WEAK_CRASH_THRESHOLD;
+    }
+
+    private boolean holdsFirmlyNow(Fingerprint suspect, CrashHistory history, long nowMs) {
+        long countedAfterMs = Math.max(nowMs - CRASH_RETENTION_MS, answeredSentAtMs(suspect) + SUCCESS_GRACE_MS);
+        return history.countAfter(countedAfterMs) >= CRASH_THRESHOLD;
+    }
+
+    /** Whether a request may be sent to a target. */
+    public Decision decide(Suspects request, long nowMs) {
+        return heldIn(request, nowMs).isPresent() ? Decision.WITHHOLD : Decision.SEND;
     }
 
     /**
      * False for a request that one more crash would quarantine, which should not be retried on its caller's behalf.
      */
-    public boolean mayBeRepeated(Fingerprint request, long nowMs) {
-        return crashesOf(request, nowMs) < CRASH_THRESHOLD - 1;
+    public boolean mayBeRepeated(Suspects request, long nowMs) {
+        return request.all().stream().allMatch(s -> mayBeRepeated(s, nowMs));
     }
 
-    /** Number of targets known to have ended while running a request. */
-    public int crashesOf(Fingerprint request, long nowMs) {
-        Map<String, Long> known = crashes.get(request);
-        if (known == null) {
+    boolean mayBeRepeated(Fingerprint suspect, long nowMs) {
+        CrashHistory history = crashes.get(suspect);
+        return history == null
+                || crashesOf(suspect, nowMs) < CRASH_THRESHOLD - 1 && history.size() < WEAK_CRASH_THRESHOLD - 1;
+    }
+
+    /** Number of targets known to have ended while running a suspect, without the crashes weakened by an answer. */
+    public int crashesOf(Fingerprint suspect, long nowMs) {
+        CrashHistory history = crashes.get(suspect);
+        if (history == null) {
             return 0;
         }
-        known.values().removeIf(atMs -> nowMs - atMs >= CRASH_RETENTION_MS);
-        if (known.isEmpty()) {
-            crashes.remove(request);
+        history.removeUntil(nowMs - CRASH_RETENTION_MS);
+        if (history.isEmpty()) {
+            crashes.remove(suspect);
         }
-        return known.size();
+        return history.countAfter(answeredSentAtMs(suspect) + SUCCESS_GRACE_MS);
     }
 
-    /** Time until a quarantined request may run again without further crashes; 0 for one that is not quarantined. */
-    public long endsInMs(Fingerprint request, long nowMs) {
-        if (!holds(request, nowMs)) {
+    /** Time until a quarantined suspect may run again without further crashes; 0 for one that is not quarantined. */
+    public long endsInMs(Fingerprint suspect, long nowMs) {
+        if (!holds(suspect, nowMs)) {
             return 0;
         }
-        List<Long> newestFirst = crashes.get(request).values().stream()
-                .sorted((a, b) -> Long.compare(b, a))
-                .toList();
-        return newestFirst.get(CRASH_THRESHOLD - 1) + CRASH_RETENTION_MS - nowMs;
+        int needed = holdsFirmly(suspect, nowMs) ? CRASH_THRESHOLD : WEAK_CRASH_THRESHOLD;
+        return crashes.get(suspect).newestAtMs(needed - 1) + CRASH_RETENTION_MS - nowMs;
+    }
+
+    /** The first of a request's suspects that is quarantined. */
+    public Optional<Fingerprint> heldIn(Suspects request, long nowMs) {
+        return request.all().stream().filter(s -> holds(s, nowMs)).findFirst();
     }
 
     /** All crashes that count, for a router that has no state yet. */
     public List<Crash> crashes(long nowMs) {
-        return crashesOfRequestsWithAtLeast(1, nowMs);
+        List<Crash> out = new ArrayList<>();
+        for (Fingerprint suspect : List.copyOf(crashes.keySet())) {
+            addCrashes(suspect, nowMs, out);
+        }
+        return out;
     }
 
-    /** The crashes of the quarantined requests, for the stored record. */
+    /** The crashes of the quarantined suspects, for the stored record. */
     public List<Crash> crashesOfQuarantined(long nowMs) {
-        return crashesOfRequestsWithAtLeast(CRASH_THRESHOLD, nowMs);
-    }
-
-    private List<Crash> crashesOfRequestsWithAtLeast(int minCrashes, long nowMs) {
         List<Crash> out = new ArrayList<>();
-        for (Fingerprint request : List.copyOf(crashes.keySet())) {
-            if (crashesOf(request, nowMs) >= minCrashes) {
-                crashes.get(request).forEach((incarnation, atMs) -> out.add(new Crash(request, incarnation, atMs)));
+        for (Fingerprint suspect : List.copyOf(crashes.keySet())) {
+            if (holds(suspect, nowMs)) {
+                addCrashes(suspect, nowMs, out);
             }
         }
         return out;
     }
 
+    private void addCrashes(Fingerprint suspect, long nowMs, List<Crash> out) {
+        crashesOf(suspect, nowMs);
+        CrashHistory history = crashes.get(suspect);
+        if (history != null) {
+            history.all().forEach((incarnation, atMs) -> out.add(new Crash(suspect, incarnation, atMs)));
+        }
+    }
+
+    /** Whether a crash is known to say little about its suspect, because of an answer, and does not quarantine it. */
+    public boolean isRefuted(Crash crash, long nowMs) {
+        return evidence(crash.atMs(), answeredSentAtMs(crash.suspect())) != Evidence.FIRM
+                && !holds(crash.suspect(), nowMs);
+    }
+
     /** Lifts all quarantines and discards all crashes. */
     public void lift() {
         crashes.clear();
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/FleetQuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/FleetQuarantineTest.java
@@ -5,9 +5,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -30,6 +32,11 @@
 
     private static final long DOWN_MS = 4_000;
     private static final Fingerprint CRASHING = new Fingerprint(0, 0);
+    /** Time within which all routers must have learned what one of them knows. */
+    private static final long PROPAGATION_MS = 3_000;
+
+    private static final int TOLERATED_CRASHES = 5;
+    private static final int TOLERATED_SENDS = 3;
 
     /** One simulated fleet. */
     private static final class Fleet {
@@ -39,6 +46,11 @@
         private final List<Engine> engines = new ArrayList<>();
         private final TreeMap<Long, List<Runnable>> events = new TreeMap<>();
         private final Set<Fingerprint> quarantined = new HashSet<>();
+        /** What crashes every engine, and from when on. */
+        private final Map<Fingerprint, Long> crashing = new HashMap<>(Map.of(CRASHING, 0L));
+
+        private final Map<Fingerprint, List<Long>> crashTimesMs = new HashMap<>();
+        private final Map<Fingerprint, List<Long>> sendTimesMs = new HashMap<>();
         private int crashesByRequest;
         private int refused;
         private int submitted;
@@ -56,7 +68,7 @@
 
         private static final class Engine {
             private final int number;
-            private final Map<Object, Fingerprint> running = new HashMap<>();
+            private final Map<Object, Suspects> running = new HashMap<>();
             private int restarts;
             private boolean down;
 
@@ -80,44 +92,89 @@
             }
         }
 
-        /** A caller sends a request to a random router and does not retry when it is refused. */
-        void submit(Fingerprint request) {
+        /** A caller sends a request to a random router and does not retry when it is refused; true if it is sent. */
+        boolean submit(Suspects request) {
             Quarantine router = routers.get(random.nextInt(routers.size()));
             Engine engine = engines.get(random.nextInt(engines.size()));
             submitted++;
-            if (router.holds(request, nowMs)) {
+            if (!maySend(router, request)) {
                 refused++;
-                return;
+                return false;
             }
             if (engine.down || engine.running.size() >= SLOTS) {
-                return;
+                return true;
             }
             Object call = new Object();
             int restarts = engine.restarts;
+            long sentAtMs = nowMs;
             engine.running.put(call, request);
-            if (request.equals(CRASHING)) {
-                scheduleAt(nowMs + 1 + random.nextInt(150), () -> crashByRequest(engine, restarts));
+            Optional<Fingerprint> atFault = request.all().stream()
+                    .filter(s -> crashing.getOrDefault(s, Long.MAX_VALUE) <= nowMs)
+                    .findFirst();
+            if (atFault.isPresent()) {
+                sendTimesMs
+                        .computeIfAbsent(atFault.get(), f -> new ArrayList<>())
+                        .add(nowMs);
+                scheduleAt(nowMs + 1 + random.nextInt(150), () -> {
+                    crashByRequest(engine, restarts, atFault.get());
+                });
             } else {
-                scheduleAt(nowMs + 1 + random.nextInt((int) CALL_MS), () -> complete(router, engine, call));
+                scheduleAt(nowMs + 1 + random.nextInt((int) CALL_MS), () -> {
+                    complete(router, engine, call, sentAtMs);
+                });
             }
+            return true;
+        }
+
+        boolean submit(Fingerprint request) {
+            return submit(Suspects.of(request, List.of()));
         }
 
-        private void crashByRequest(Engine engine, int restarts) {
+        private boolean maySend(Quarantine router, Suspects request) {
+            return switch (router.decide(request, nowMs)) {
+                case SEND -> true;
+                case WITHHOLD -> false;
+            };
+        }
+
+        private void crashByRequest(Engine engine, int restarts, Fingerprint atFault) {
             if (engine.restarts == restarts && !engine.down) {
                 crashesByRequest++;
+                crashTimesMs.computeIfAbsent(atFault, f -> new ArrayList<>()).add(nowMs);
                 crash(engine);
             }
         }
 
-        private void complete(Quarantine router, Engine engine, Object call) {
-            Fingerprint request = engine.running.remove(call);
-            if (request != null && router.answered(request, nowMs)) {
-                broadcastAnswered(request, nowMs);
+        /** What any router still withholds. */
+        Set<Fingerprint> heldAtTheEnd() {
+            return quarantined.stream()
+                    .filter(s -> routers.stream().anyMatch(r -> r.holds(s, nowMs)))
+                    .collect(Collectors.toSet());
+        }
+
+        /** Sends of what crashes engines, after all routers can know of the fifth crash. */
+        long sendsAfterFifthCrash(Fingerprint atFault) {
+            List<Long> crashes = crashTimesMs.getOrDefault(atFault, List.of());
+            if (crashes.size() < TOLERATED_CRASHES) {
+                return 0;
+            }
+            long fromMs = crashes.get(TOLERATED_CRASHES - 1) + PROPAGATION_MS;
+            return sendTimesMs.get(atFault).stream().filter(at -> at > fromMs).count();
+        }
+
+        private void complete(Quarantine router, Engine engine, Object call, long sentAtMs) {
+            Suspects request = engine.running.remove(call);
+            if (request != null) {
+                request.all().stream()
+                        .filter(s -> router.answered(s, sentAtMs))
+                        .forEach(s -> broadcastAnswered(s, sentAtMs));
             }
         }
 
         void crash(Engine engine) {
             List<Crash> crashes = engine.running.values().stream()
+                    .flatMap(r -> r.all().stream())
+                    .distinct()
                     .map(r -> new Crash(r, engine.incarnation(), nowMs))
                     .toList();
             engine.running.clear();
@@ -131,11 +188,11 @@
         private void applyCrashes(Quarantine router, List<Crash> crashes) {
             for (Crash c : crashes) {
                 switch (router.recordCrash(c, nowMs)) {
-                    case QUARANTINED -> quarantined.add(c.request());
+                    case QUARANTINED -> quarantined.add(c.suspect());
                     case CLEARED ->
                         broadcastAnswered(
-                                c.request(),
-                                nowMs - router.answeredAgoMs(c.request(), nowMs).orElseThrow());
+                                c.suspect(),
+                                nowMs - router.answeredAgoMs(c.suspect(), nowMs).orElseThrow());
                     default -> {
                         // The request is only suspected, or the crash was known before.
                     }
@@ -216,4 +273,111 @@
             }
         }
     }
+
+    /**
+     * Requests that share one part crash every engine, at random routers, beside the usual load. Half of the load shares
+     * eight first parts, and all of it a few hundred parts of sessions.
+     */
+    @Nested
+    class OnePartCrashesEngines {
+
+        private static final Fingerprint BAD = Fingerprint.ofPromptPart("bad");
+        private static final long FROM_MS = 10_000;
+        private static final long BAD_INTERVAL_MS = 250;
+
+        private int requests;
+
+        private Suspects request(String... parts) {
+            return Suspects.of(new Fingerprint(7, requests++), List.of(parts));
+        }
+
+        private void scheduleEvery(Fleet fleet, long fromMs, long intervalMs, Runnable event) {
+            for (long ms = fromMs; ms < RUN_MS; ms += intervalMs) {
+                fleet.scheduleAt(ms, event);
+            }
+        }
+
+        private Fleet fleetWithParts(int routers, long seed) {
+            Fleet fleet = new Fleet(routers, seed);
+            int perSecond = routers * 12;
+            for (long ms = 0; ms < RUN_MS; ms += 1_000) {
+                for (int i = 0; i < perSecond; i++) {
+                    String first =
+                            i % 2 == 0 ? "route" + fleet.random.nextInt(8) : "workspace" + fleet.random.nextInt(40);
+                    String session = "session" + fleet.random.nextInt(40 * routers);
+                    fleet.scheduleAt(ms + fleet.random.nextInt(1_000), () -> fleet.submit(request(first, session)));
+                }
+            }
+            return fleet;
+        }
+
+        private void assertBound(Fleet fleet, Fingerprint atFault, String run) {
+            assertThat(run, fleet.sendsAfterFifthCrash(atFault), lessThanOrEqualTo((long) TOLERATED_SENDS));
+        }
+
+        /** Guards against one target after another that ends because of a part that new requests name again. */
+        @Test
+        void onlyThatPartIsQuarantined() {
+            for (int routers : new int[] {5, 33, 99}) {
+                for (long seed = 1; seed <= 2; seed++) {
+                    Fleet fleet = fleetWithParts(routers, seed);
+                    fleet.crashing.put(BAD, 0L);
+                    scheduleEvery(fleet, FROM_MS, BAD_INTERVAL_MS, () -> fleet.submit(request("route1", "bad")));
+                    fleet.run();
+                    String run = routers + " routers, seed " + seed;
+                    assertBound(fleet, BAD, run);
+                    assertThat(run, fleet.crashesByRequest, lessThanOrEqualTo(2 * Quarantine.CRASH_THRESHOLD));
+                    assertThat(run, fleet.quarantined, is(Set.of(BAD)));
+                }
+            }
+        }
+
+        /** Guards against a part that is blamed for nothing because it was answered before it began to crash targets. */
+        @Test
+        void partThatWasAnsweredBeforeIsQuarantinedToo() {
+            Fingerprint popular = Fingerprint.ofPromptPart("route1");
+            for (int routers : new int[] {5, 33, 99}) {
+                for (long seed = 1; seed <= 2; seed++) {
+                    Fleet fleet = fleetWithParts(routers, seed);
+                    fleet.crashing.put(popular, 20_000L);
+                    fleet.run();
+                    String run = routers + " routers, seed " + seed;
+                    assertBound(fleet, popular, run);
+                    assertThat(run, fleet.quarantined.contains(popular), is(true));
+                    assertThat(run, fleet.quarantined.contains(Fingerprint.ofPromptPart("route2")), is(false));
+                }
+            }
+        }
+
+        @Test
+        void twoPartsAtOnceAreQuarantined() {
+            for (int routers : new int[] {5, 33, 99}) {
+                Fleet fleet = fleetWithParts(routers, 1);
+                Fingerprint other = Fingerprint.ofPromptPart("bad2");
+                fleet.crashing.put(BAD, 0L);
+                fleet.crashing.put(other, 0L);
+                scheduleEvery(fleet, FROM_MS, BAD_INTERVAL_MS, () -> fleet.submit(request("route1", "bad")));
+                scheduleEvery(fleet, FROM_MS, BAD_INTERVAL_MS, () -> fleet.submit(request("workspace1", "bad2")));
+                fleet.run();
+                assertBound(fleet, BAD, routers + " routers");
+                assertBound(fleet, other, routers + " routers");
+                assertThat(fleet.quarantined, is(Set.of(BAD, other)));
+            }
+        }
+
+        /** Guards against parts that are withheld because a sixth of the engines ends at once, repeatedly. */
+        @Test
+        void ordinaryCrashesQuarantineNoPart() {
+            for (int routers : new int[] {5, 33, 99}) {
+                for (long seed = 1; seed <= 2; seed++) {
+                    Fleet fleet = fleetWithParts(routers, seed);
+                    scheduleEvery(fleet, 5_000, 5_000, () -> fleet.crashEveryNth(6));
+                    fleet.run();
+                    String run = routers + " routers, seed " + seed;
+                    assertThat(run, fleet.refused, is(0));
+                    assertThat(run, fleet.heldAtTheEnd(), is(Set.of()));
+                }
+            }
+        }
+    }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
@@ -100,6 +100,56 @@
         }
     }
 
+    /** A suspect that was answered before it began to crash targets. */
+    @Nested
+    class CrashesAfterAnAnswer {
+
+        private void crashTimes(Fingerprint suspect, int count) {
+            for (int i = 1; i <= count; i++) {
+                crash(suspect, "t" + i, i * 1_000L);
+            }
+        }
+
+        @Test
+        void moreCrashesAreNeeded() {
+            quarantine.answered(CRASHING, 0);
+            crashTimes(CRASHING, Quarantine.WEAK_CRASH_THRESHOLD - 1);
+            assertThat(quarantine.holds(CRASHING, 5_000), is(false));
+            assertThat(quarantine.mayBeRepeated(CRASHING, 5_000), is(false));
+            assertThat(crash(CRASHING, "t5", 5_000), is(Quarantine.Effect.QUARANTINED));
+        }
+
+        @Test
+        void answerToACallSentAfterwardsRefutesThem() {
+            quarantine.answered(CRASHING, 0);
+            crashTimes(CRASHING, Quarantine.WEAK_CRASH_THRESHOLD);
+            assertThat(quarantine.answered(CRASHING, 3_500), is(true));
+            assertThat(quarantine.holds(CRASHING, 6_000), is(false));
+            assertThat(crash(CRASHING, "t2", 2_000), is(Quarantine.Effect.CLEARED));
+            assertThat(quarantine.crashes(6_000).size(), is(2));
+        }
+
+        /** Guards against blaming a popular suspect for targets that end together. */
+        @Test
+        void crashesAtOneTimeCountOnce() {
+            quarantine.answered(CRASHING, 0);
+            for (int i = 0; i < 20; i++) {
+                crash(CRASHING, "t" + i, 1_000 + i);
+            }
+            assertThat(quarantine.holds(CRASHING, 2_000), is(false));
+        }
+
+        /** Guards against blaming a popular suspect for the crashes that another one explains. */
+        @Test
+        void crashesWithAQuarantinedSuspectDoNotCount() {
+            quarantine.answered(CONCURRENT, 0);
+            crashTimes(CRASHING, Quarantine.WEAK_CRASH_THRESHOLD);
+            crashTimes(CONCURRENT, Quarantine.WEAK_CRASH_THRESHOLD);
+            assertThat(quarantine.holds(CRASHING, 6_000), is(true));
+            assertThat(quarantine.holds(CONCURRENT, 6_000), is(false));
+        }
+    }
+
     @Nested
     class Expiry {
 
@@ -170,11 +220,11 @@
 
         @Test
         void brokenCallsAreSuspectOnlyWhenTheTargetEnds() {
-            assertThat(calls.broke(CRASHING, "a", 0), is(true));
-            assertThat(calls.broke(CONCURRENT, "a", 1), is(false));
-            assertThat(calls.broke(CRASHING, "b", 1), is(true));
+            assertThat(calls.broke(Suspects.of(CRASHING, List.of()), "a", 0), is(true));
+            assertThat(calls.broke(Suspects.of(CONCURRENT, List.of()), "a", 1), is(false));
+            assertThat(calls.broke(Suspects.of(CRASHING, List.of()), "b", 1), is(true));
             assertThat(
-                    calls.ended("a", 0, 2).stream().map(Crash::request).toList(),
+                    calls.ended("a", 0, 2).stream().map(Crash::suspect).toList(),
                     containsInAnyOrder(CRASHING, CONCURRENT));
             assertThat(calls.ended("a", 0, 3).isEmpty(), is(true));
         }
@@ -182,17 +232,41 @@
         /** Guards against blaming a call whose connection broke while its target went on and ended only later. */
         @Test
         void callsBeforeTheLastBytesFromTheTargetAreNotSuspect() {
-            calls.broke(CRASHING, "a", 0);
-            calls.broke(CONCURRENT, "a", 1_000);
+            calls.broke(Suspects.of(CRASHING, List.of()), "a", 0);
+            calls.broke(Suspects.of(CONCURRENT, List.of()), "a", 1_000);
             assertThat(calls.mayHaveEnded("a", 1_010), is(true));
             assertThat(calls.mayHaveEnded("a", 1_500), is(false));
             assertThat(
-                    calls.ended("a", 1_010, 1_100).stream().map(Crash::request).toList(), is(List.of(CONCURRENT)));
+                    calls.ended("a", 1_010, 1_100).stream().map(Crash::suspect).toList(), is(List.of(CONCURRENT)));
+        }
+
+        /** Guards against a call that broke with its target and is read only after the target was found to have ended. */
+        @Test
+        void callsThatBreakAfterTheTargetWasFoundToHaveEndedAreSuspect() {
+            calls.broke(Suspects.of(CRASHING, List.of()), "a", 0);
+            calls.ended("a", 0, 2);
+            assertThat(calls.hasEnded("a", 3), is(true));
+            assertThat(calls.hasEnded("b", 3), is(false));
+            calls.broke(Suspects.of(CONCURRENT, List.of()), "a", 3);
+            assertThat(calls.ended("a", 0, 3).stream().map(Crash::suspect).toList(), is(List.of(CONCURRENT)));
+        }
+
+        @Test
+        void partsOfSeveralCallsAreSuspectOnce() {
+            calls.broke(Suspects.of(CRASHING, List.of("first", "second")), "a", 0);
+            calls.broke(Suspects.of(CONCURRENT, List.of("first")), "a", 0);
+            assertThat(
+                    calls.ended("a", 0, 2).stream().map(Crash::suspect).toList(),
+                    containsInAnyOrder(
+                            CRASHING,
+                            CONCURRENT,
+                            Fingerprint.ofPromptPart("first"),
+                            Fingerprint.ofPromptPart("second")));
         }
 
         @Test
         void callsLongBeforeTheEndOfTheTargetAreNotSuspect() {
-            calls.broke(CRASHING, "a", 0);
+            calls.broke(Suspects.of(CRASHING, List.of()), "a", 0);
             assertThat(calls.ended("a", 0, 10_001).isEmpty(), is(true));
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -9,7 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
-import org.onyxhinge.core.quarantine.Fingerprint;
+import org.onyxhinge.core.quarantine.Suspects;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -65,8 +65,8 @@
         /** Name of the caller's route. */
         String routeName();
 
-        /** Identifies what the caller asks for, independent of the request id. */
-        Fingerprint fingerprint();
+        /** What in the call may be at fault if the target ends. */
+        Suspects suspects();
 
         /** Called with what the response headers say about the target itself. */
         void targetNotices(ResponseHead head);
@@ -272,7 +272,7 @@
             return;
         }
         if (!ended) {
-            forwarder.crashQuarantine().connectionBroke(owner.fingerprint(), target);
+            forwarder.crashQuarantine().connectionBroke(owner.suspects(), target);
         }
         endWithFailure(e.getMessage());
     }
@@ -382,6 +382,11 @@
         return firstByteSeen;
     }
 
+    /** When the call was sent; -1 before that. */
+    long sentAtMs() {
+        return sentAtMs;
+    }
+
     /** True while the target may be executing the call. */
     boolean isRunning() {
         return !ended && sentAtMs >= 0;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
@@ -57,9 +57,9 @@
         exchanges.stream().filter(x -> x.isOn(connection)).toList().forEach(Exchange::readerCut);
     }
 
-    /** Ends the exchanges of a request that has just been quarantined. */
-    void quarantined(Fingerprint request) {
-        exchanges.stream().filter(x -> x.fingerprint().equals(request)).toList().forEach(Exchange::quarantined);
+    /** Ends the exchanges that must not run because of a suspect that has just been quarantined. */
+    void quarantined(Fingerprint suspect) {
+        exchanges.stream().filter(x -> x.suspects().contain(suspect)).toList().forEach(Exchange::quarantined);
     }
 
     /** Number of attempts on the targets of a service that get no new calls because of their version. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -1,24 +1,30 @@
 package org.onyxhinge.router.forward;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.quarantine.BrokenCalls;
 import org.onyxhinge.core.quarantine.Crash;
 import org.onyxhinge.core.quarantine.Fingerprint;
 import org.onyxhinge.core.quarantine.Quarantine;
+import org.onyxhinge.core.quarantine.Suspects;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
 /**
- * Quarantines requests that crash the targets executing them. Every crash is broadcast to the other routers at once;
- * quarantines are also recorded in the store, for routers that start later or are partitioned from the others.
+ * Quarantines requests, and parts of prompts, that crash the targets executing them. Every crash is broadcast to the
+ * other routers at once; quarantines are also recorded in the store, for routers that start later or are partitioned
+ * from the others.
  */
 final class CrashQuarantine {
 
@@ -31,8 +37,19 @@
 
     private static final long PROBE_INTERVAL_MS = 150;
 
+    /** Routers report their calls at a target that has ended one by one; what they reported last may be to blame. */
+    private static final long REPORTS_COMPLETE_MS = 50;
+
+    /** Maximum number of suspects whose names or reported answers are kept. */
+    private static final int MAX_SUSPECTS = 4_096;
+
     private final Quarantine quarantine = Quarantine.create();
     private final BrokenCalls brokenCalls = BrokenCalls.create();
+    /** Ids of the parts that calls of this router named, by fingerprint. */
+    private final Map<Fingerprint, String> partIds = BoundedMap.dropOldest(MAX_SUSPECTS);
+    /** The answers that all routers have been told of: when the newest answered call was sent. */
+    private final Map<Fingerprint, Long> reportedAnswers = BoundedMap.dropOldest(MAX_SUSPECTS);
+
     private final Vertx vertx;
     private final TargetConnections connections;
     private final ForwardingMetrics metrics;
@@ -43,7 +60,7 @@
      * Creates an instance that knows of no crash.
      *
      * @param broadcast sends a message to every other router
-     * @param quarantined called when a request is quarantined, so that its calls in progress are ended
+     * @param quarantined called when a request or a part is quarantined, so that calls in progress are ended
      */
     CrashQuarantine(
             Vertx vertx,
@@ -62,13 +79,22 @@
      * Handles a connection that broke while a target executed a request, and finds out whether the target has
      * terminated.
      */
-    void connectionBroke(Fingerprint request, TargetState target) {
-        // A draining target may terminate with calls in progress; that does not count against them.
-        if (target.isReady() && brokenCalls.broke(request, target.incarnation(), MonotonicClock.nowMs())) {
+    void connectionBroke(Suspects request, TargetState target) {
+        nameParts(request);
+        long nowMs = MonotonicClock.nowMs();
+        if (brokenCalls.hasEnded(target.incarnation(), nowMs)) {
+            brokenCalls.broke(request, target.incarnation(), nowMs);
+            targetEnded(target);
+        } else if (target.isReady() && brokenCalls.broke(request, target.incarnation(), nowMs)) {
+            // A draining target may terminate with calls in progress; that does not count against them.
             probe(target, MAX_PROBES);
         }
     }
 
+    private void nameParts(Suspects request) {
+        request.partIds().forEach(id -> partIds.put(Fingerprint.ofPromptPart(id), id));
+    }
+
     /**
      * Probes a target's address. A successful connection proves little: a terminating process accepts connections until
      * its last socket is closed, and another process may listen at the address soon after.
@@ -93,82 +119,134 @@
     void targetEnded(TargetState target) {
         List<Crash> crashes = brokenCalls.ended(target.incarnation(), target.heardAtMs(), MonotonicClock.nowMs());
         if (!crashes.isEmpty()) {
-            LOG.infof("target ended incarnation=%s requests=%s", target.incarnation(), requests(crashes));
+            LOG.infof("target ended incarnation=%s suspects=%s", target.incarnation(), suspects(crashes));
             recordCrashes(crashes);
             broadcast.accept(message(crashes));
         }
     }
 
-    private static String requests(List<Crash> crashes) {
-        return crashes.stream().map(c -> c.request().toString()).collect(Collectors.joining(","));
+    private String suspects(List<Crash> crashes) {
+        return crashes.stream().map(c -> name(c.suspect())).collect(Collectors.joining(","));
+    }
+
+    /** Name of a suspect for operators; a part's id is known if a call of this router broke with it. */
+    private String name(Fingerprint suspect) {
+        String partId = partIds.get(suspect);
+        return partId == null ? suspect.toString() : "part-" + partId;
     }
 
     private void recordCrashes(List<Crash> crashes) {
         long nowMs = MonotonicClock.nowMs();
+        Set<Fingerprint> newlyHeld = new LinkedHashSet<>();
         for (Crash crash : crashes) {
             switch (quarantine.recordCrash(crash, nowMs)) {
-                case QUARANTINED -> onQuarantined(crash.request(), nowMs);
-                case CLEARED -> broadcastAnswered(crash.request(), nowMs);
+                case QUARANTINED -> newlyHeld.add(crash.suspect());
+                case CLEARED -> reportAnswer(crash, nowMs);
                 default -> metrics.event("crashes.heard");
             }
         }
+        newlyHeld.forEach(s -> onQuarantined(s, nowMs));
+    }
+
+    /** Tells the other routers of an answer to a suspect, unless they know of one that says as much about a crash. */
+    private void reportAnswer(Crash crash, long nowMs) {
+        long reportedMs = reportedAnswers.getOrDefault(crash.suspect(), Quarantine.NEVER_MS);
+        quarantine.answeredAgoMs(crash.suspect(), nowMs).ifPresent(agoMs -> {
+            if (Quarantine.saysMore(nowMs - agoMs, reportedMs, crash)) {
+                broadcastAnswered(crash.suspect(), nowMs);
+            }
+        });
     }
 
-    private void broadcastAnswered(Fingerprint request, long nowMs) {
-        quarantine
-                .answeredAgoMs(request, nowMs)
-                .ifPresent(agoMs -> broadcast.accept(new PeerMessage.SuspectCompleted(request, agoMs)));
+    private void broadcastAnswered(Fingerprint suspect, long nowMs) {
+        quarantine.answeredAgoMs(suspect, nowMs).ifPresent(agoMs -> {
+            reportedAnswers.merge(suspect, nowMs - agoMs, Math::max);
+            broadcast.accept(new PeerMessage.SuspectCompleted(suspect, agoMs));
+        });
     }
 
-    private void onQuarantined(Fingerprint request, long nowMs) {
+    private void onQuarantined(Fingerprint suspect, long nowMs) {
         metrics.event("requests.quarantined");
         LOG.warnf(
-                "request quarantined fingerprint=%s crashes=\"%s\" forMs=%d",
-                request, crashesOf(request, nowMs), quarantine.endsInMs(request, nowMs));
-        quarantined.accept(request);
+                "quarantined suspect=%s fingerprint=%s crashes=\"%s\" forMs=%d",
+                name(suspect), suspect, crashesOf(suspect, nowMs), quarantine.endsInMs(suspect, nowMs));
+        vertx.setTimer(REPORTS_COMPLETE_MS, t -> quarantined.accept(suspect));
     }
 
-    private String crashesOf(Fingerprint request, long nowMs) {
+    private String crashesOf(Fingerprint suspect, long nowMs) {
         return quarantine.crashesOfQuarantined(nowMs).stream()
-                .filter(c -> c.request().equals(request))
+                .filter(c -> c.suspect().equals(suspect))
                 .map(c -> c.incarnation() + " " + (nowMs - c.atMs()) + " ms ago")
                 .collect(Collectors.joining("; "));
     }
 
-    /** Records that a target returned a complete response to a request. */
-    void answered(Fingerprint request) {
+    /**
+     * Records that a target returned a complete response to a request.
+     *
+     * @param sentAtMs when the request was sent to it
+     */
+    void answered(Suspects request, long sentAtMs) {
         long nowMs = MonotonicClock.nowMs();
-        if (quarantine.answered(request, nowMs)) {
-            LOG.infof("request cleared fingerprint=%s", request);
-            broadcastAnswered(request, nowMs);
+        for (Fingerprint suspect : request.all()) {
+            if (quarantine.answered(suspect, sentAtMs)) {
+                LOG.infof("suspect cleared suspect=%s", name(suspect));
+                broadcastAnswered(suspect, nowMs);
+            }
         }
     }
 
     /** True while a request must not be sent to any target. */
-    boolean isQuarantined(Fingerprint request) {
-        return quarantine.holds(request, MonotonicClock.nowMs());
+    boolean isQuarantined(Suspects request) {
+        return quarantine.decide(request, MonotonicClock.nowMs()) == Quarantine.Decision.WITHHOLD;
     }
 
     /** Whether the router itself may send a request once more. */
-    boolean mayBeRepeated(Fingerprint request) {
+    boolean mayBeRepeated(Suspects request) {
         return quarantine.mayBeRepeated(request, MonotonicClock.nowMs());
     }
 
     /** Time until a quarantined request may be executed again. */
-    long endsInMs(Fingerprint request) {
-        return quarantine.endsInMs(request, MonotonicClock.nowMs());
+    long endsInMs(Suspects request) {
+        long nowMs = MonotonicClock.nowMs();
+        return request.all().stream()
+                .mapToLong(s -> quarantine.endsInMs(s, nowMs))
+                .max()
+                .orElse(0);
     }
 
-    /** All crashes that still count, for a router that may know of none. */
-    PeerMessage.Crashes activeCrashes() {
-        return message(quarantine.crashes(MonotonicClock.nowMs()));
+    /** Names what is quarantined in a request, for operators. */
+    String held(Suspects request) {
+        long nowMs = MonotonicClock.nowMs();
+        nameParts(request);
+        return request.all().stream()
+                .filter(s -> quarantine.holds(s, nowMs))
+                .map(this::name)
+                .collect(Collectors.joining(","));
+    }
+
+    /** Everything that counts for or against a suspect, for a router that may know none of it. */
+    List<PeerMessage.RouterToRouter> state() {
+        long nowMs = MonotonicClock.nowMs();
+        List<Crash> crashes = quarantine.crashes(nowMs);
+        List<PeerMessage.RouterToRouter> out = new ArrayList<>();
+        // Answers come first: without them the crashes of popular suspects would quarantine these for a moment.
+        crashes.stream()
+                .map(Crash::suspect)
+                .distinct()
+                .forEach(s -> quarantine
+                        .answeredAgoMs(s, nowMs)
+                        .ifPresent(agoMs -> out.add(new PeerMessage.SuspectCompleted(s, agoMs))));
+        if (!crashes.isEmpty()) {
+            out.add(message(crashes));
+        }
+        return out;
     }
 
     private static PeerMessage.Crashes message(List<Crash> crashes) {
         long nowMs = MonotonicClock.nowMs();
         List<PeerMessage.CrashReport> out = new ArrayList<>();
         for (Crash c : crashes) {
-            out.add(new PeerMessage.CrashReport(c.request(), c.incarnation(), nowMs - c.atMs()));
+            out.add(new PeerMessage.CrashReport(c.suspect(), c.incarnation(), nowMs - c.atMs()));
         }
         return new PeerMessage.Crashes(out);
     }
@@ -177,22 +255,30 @@
     void receive(PeerMessage.Crashes message) {
         long nowMs = MonotonicClock.nowMs();
         recordCrashes(message.crashes().stream()
-                .map(c -> new Crash(c.request(), c.incarnation(), nowMs - c.agoMs()))
+                .map(c -> new Crash(c.suspect(), c.incarnation(), nowMs - c.agoMs()))
                 .toList());
     }
 
-    /** Applies another router's report that a target returned a complete response to a request. */
+    /** Applies another router's report that a target returned a complete response to a suspect. */
     void receive(PeerMessage.SuspectCompleted message) {
-        if (quarantine.answered(message.request(), MonotonicClock.nowMs() - message.agoMs())) {
-            LOG.infof("request cleared by another router fingerprint=%s", message.request());
+        long sentAtMs = MonotonicClock.nowMs() - message.agoMs();
+        reportedAnswers.merge(message.suspect(), sentAtMs, Math::max);
+        if (quarantine.answered(message.suspect(), sentAtMs)) {
+            LOG.infof("suspect cleared by another router suspect=%s", name(message.suspect()));
         }
     }
 
-    /** The record to be stored: the crashes of the quarantined requests. */
+    /** The record to be stored: the crashes of what is quarantined. */
     QuarantineRecord currentRecord() {
         return QuarantineRecord.of(quarantine.crashesOfQuarantined(MonotonicClock.nowMs()), MonotonicClock.nowMs());
     }
 
+    /** Whether a stored record blames something that answers have cleared since. */
+    boolean refutes(QuarantineRecord record) {
+        long nowMs = MonotonicClock.nowMs();
+        return record.crashes(nowMs).stream().anyMatch(c -> quarantine.isRefuted(c, nowMs));
+    }
+
     /** Applies the crashes of a stored record. */
     void restore(QuarantineRecord record) {
         recordCrashes(record.crashes(MonotonicClock.nowMs()));
@@ -200,16 +286,17 @@
 
     /** Lifts every quarantine, after its record was removed. */
     void lift() {
-        LOG.infof("quarantine lifted requests=%d", byRequest().size());
+        LOG.infof("quarantine lifted suspects=%d", bySuspect().size());
         quarantine.lift();
     }
 
-    /** Quarantined requests and the targets they crashed, for the state dump. */
-    Map<String, Object> byRequest() {
-        return quarantine.crashesOfQuarantined(MonotonicClock.nowMs()).stream()
+    /** What is quarantined and the targets that it crashed, for the state dump. */
+    Map<String, Object> bySuspect() {
+        Map<String, Object> out = new TreeMap<>();
+        quarantine.crashesOfQuarantined(MonotonicClock.nowMs()).stream()
                 .collect(Collectors.groupingBy(
-                        c -> c.request().toString(),
-                        Collectors.collectingAndThen(
-                                Collectors.mapping(Crash::incarnation, Collectors.toList()), l -> (Object) l)));
+                        c -> name(c.suspect()), Collectors.mapping(Crash::incarnation, Collectors.toList())))
+                .forEach(out::put);
+        return out;
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -13,6 +13,7 @@
 import org.onyxhinge.core.place.TargetState;
 import org.onyxhinge.core.place.Verdict;
 import org.onyxhinge.core.quarantine.Fingerprint;
+import org.onyxhinge.core.quarantine.Suspects;
 import org.onyxhinge.core.route.CallKind;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -32,7 +33,7 @@
     private final ExchangeIntake intake;
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
-    private Fingerprint fingerprint = Fingerprint.NONE;
+    private Suspects suspects = Suspects.NONE;
     private boolean repeated;
     private Call waiting;
     private Attempt attempt;
@@ -99,7 +100,7 @@
      */
     void received(Buffer whole, Fingerprint identity, boolean repeat) {
         body = whole;
-        fingerprint = identity;
+        suspects = Suspects.of(identity, plan.head().promptParts().shared());
         repeated = repeat;
         logEntry.fingerprint = identity;
     }
@@ -112,7 +113,7 @@
 
     /** Sends the request, or queues it. */
     void submit() {
-        if (forwarder.crashQuarantine().isQuarantined(fingerprint)) {
+        if (forwarder.crashQuarantine().isQuarantined(suspects)) {
             refuseQuarantined();
             return;
         }
@@ -164,15 +165,16 @@
 
     /** Refuses the request because it crashes targets. */
     void refuseQuarantined() {
-        end.withoutTarget("quarantined", forwarder.crashQuarantine().endsInMs(fingerprint));
+        logEntry.addTrouble("quarantine", forwarder.crashQuarantine().held(suspects));
+        end.withoutTarget("quarantined", forwarder.crashQuarantine().endsInMs(suspects));
     }
 
     /**
-     * Ends the request because it has just been quarantined. If its response has begun, the target may still complete
-     * it.
+     * Ends the request if it must not run because of what has just been quarantined. If its response has begun, the
+     * target may still complete it.
      */
     void quarantined() {
-        if (end.finished() || caller.headSent()) {
+        if (end.finished() || caller.headSent() || !forwarder.crashQuarantine().isQuarantined(suspects)) {
             return;
         }
         if (attempt != null && attempt.isRunning()) {
@@ -186,7 +188,7 @@
     public boolean prepare(RequestOptions options, TargetState target) {
         if (end.finished()
                 || plan.remainingMs() <= 0
-                || forwarder.crashQuarantine().isQuarantined(fingerprint)) {
+                || forwarder.crashQuarantine().isQuarantined(suspects)) {
             return false;
         }
         history.recordSend();
@@ -213,8 +215,13 @@
     }
 
     @Override
-    public Fingerprint fingerprint() {
-        return fingerprint;
+    public Suspects suspects() {
+        return suspects;
+    }
+
+    /** Identifies what the caller asks for, independent of the request id. */
+    Fingerprint fingerprint() {
+        return suspects.request();
     }
 
     @Override
@@ -268,7 +275,7 @@
             return;
         }
         history.markExecuted();
-        forwarder.crashQuarantine().answered(fingerprint);
+        forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
         boolean retriable = head.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
         if (retriable && history.fallback() == null) {
             history.exclude(a.target());
@@ -321,7 +328,7 @@
             connectionBroke(a, "stream ended inside an event");
             return;
         }
-        forwarder.crashQuarantine().answered(fingerprint);
+        forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
         forwarder
                 .lengths()
                 .ended(plan.route().name(), stream.events(), plan.head().expectedOutputTokens());
@@ -335,7 +342,7 @@
             return;
         }
         boolean retryAllowed =
-                plan.route().repeatable() && forwarder.crashQuarantine().mayBeRepeated(fingerprint);
+                plan.route().repeatable() && forwarder.crashQuarantine().mayBeRepeated(suspects);
         if (retryAllowed && history.consumeRetry(plan, forwarder)) {
             submit();
         } else {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -101,7 +101,7 @@
     }
 
     private void admit() {
-        if (forwarder.crashQuarantine().isQuarantined(exchange.fingerprint())) {
+        if (forwarder.crashQuarantine().isQuarantined(exchange.suspects())) {
             exchange.refuseQuarantined();
             return;
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -274,7 +274,7 @@
                 .put("targetConnections", connections.openCount())
                 .put("targetConnectionsOpened", connections.opened())
                 .put("usageRecordAgeMs", quotas.recordAgeMs())
-                .put("quarantined", new JsonObject(crashQuarantine.byRequest()))
+                .put("quarantined", new JsonObject(crashQuarantine.bySuspect()))
                 .put("targetLimits", placement.limits().size())
                 .put("refusedRequests", retryRecognition.size())
                 .put("streamOrigins", streamOrigins.size())
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -139,10 +139,7 @@
     @Override
     public List<PeerMessage.RouterToRouter> broadcastState() {
         List<PeerMessage.RouterToRouter> out = new ArrayList<>();
-        PeerMessage.Crashes crashes = crashQuarantine.activeCrashes();
-        if (!crashes.crashes().isEmpty()) {
-            out.add(crashes);
-        }
+        out.addAll(crashQuarantine.state());
         PeerMessage.TargetLimits limits = targetLimits.activeLimits();
         if (!limits.limits().isEmpty()) {
             out.add(limits);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
@@ -45,7 +45,7 @@
     static QuarantineRecord of(List<Crash> crashes, long nowMs) {
         long epochMs = System.currentTimeMillis();
         return new QuarantineRecord(crashes.stream()
-                .map(c -> new Entry(c.request(), c.incarnation(), epochMs - (nowMs - c.atMs())))
+                .map(c -> new Entry(c.suspect(), c.incarnation(), epochMs - (nowMs - c.atMs())))
                 .toList());
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
@@ -12,7 +12,7 @@
 
 /**
  * Records that routers share through the key-value service for recovery when all of them restart at once: the
- * workspaces' usage and the quarantined requests. The public methods may be called from any thread.
+ * workspaces' usage and what is quarantined. The public methods may be called from any thread.
  */
 public final class RecoveryRecords {
 
@@ -79,7 +79,10 @@
         });
     }
 
-    /** The quarantine record, if the stored one lacks a crash and this router is the one to write it. */
+    /**
+     * The quarantine record, if the stored one lacks a crash, or blames what has been cleared, and this router is the
+     * one to write it.
+     */
     public Future<List<RecordWrite>> quarantineWrites(String key) {
         Promise<List<RecordWrite>> out = Promise.promise();
         context.runOnContext(v -> out.complete(
@@ -89,7 +92,7 @@
 
     private Optional<RecordWrite> quarantineWrite(String key, long nowMs) {
         QuarantineRecord current = crashQuarantine.currentRecord();
-        if (storedQuarantine.covers(current)) {
+        if (storedQuarantine.covers(current) && !crashQuarantine.refutes(storedQuarantine)) {
             outdatedSinceMs = -1;
             return Optional.empty();
         }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -167,7 +167,7 @@
 
         @Override
         public void onAnswered(PeerMessage.SuspectCompleted answered) {
-            answeredRequests.add(answered.request());
+            answeredRequests.add(answered.suspect());
         }
 
         @Override
@@ -270,8 +270,8 @@
         await(() -> b.receivedCrashes.contains(first));
         a.context.runOnContext(v -> a.peers.broadcast(new PeerMessage.Crashes(List.of(second))));
         await(() -> b.receivedCrashes.contains(second));
-        a.context.runOnContext(v -> a.peers.broadcast(new PeerMessage.SuspectCompleted(first.request(), 0)));
-        await(() -> b.answeredRequests.contains(first.request()));
+        a.context.runOnContext(v -> a.peers.broadcast(new PeerMessage.SuspectCompleted(first.suspect(), 0)));
+        await(() -> b.answeredRequests.contains(first.suspect()));
         a.stop();
         b.stop();
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -90,7 +90,7 @@
             case PeerMessage.Crashes c -> writeCrashes(p, c);
             case PeerMessage.SuspectCompleted a -> {
                 writeHeader(p, SUSPECT_COMPLETED, 3);
-                writeFingerprint(p, a.request());
+                writeFingerprint(p, a.suspect());
                 p.packLong(a.agoMs());
             }
             case PeerMessage.TargetLimits l -> writeLimits(p, l);
@@ -229,7 +229,7 @@
     private static void writeCrashes(MessagePacker p, PeerMessage.Crashes c) throws IOException {
         writeHeader(p, CRASHES, 1).packArrayHeader(c.crashes().size());
         for (PeerMessage.CrashReport crash : c.crashes()) {
-            writeFingerprint(p, crash.request());
+            writeFingerprint(p, crash.suspect());
             p.packString(crash.incarnation()).packLong(crash.agoMs());
         }
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -185,9 +185,9 @@
     }
 
     /**
-     * Requests that were running on targets when those targets crashed.
+     * Requests that were running on targets when those targets crashed, and the shared parts of their prompts.
      *
-     * @param crashes one entry for each such request
+     * @param crashes one entry for each such request or part
      */
     record Crashes(List<CrashReport> crashes) implements RouterToRouter {
 
@@ -198,21 +198,21 @@
     }
 
     /**
-     * A request that was running on a target when the target crashed.
+     * A request that was running on a target when the target crashed, or a part of its prompt.
      *
-     * @param request fingerprint of the request
+     * @param suspect fingerprint of the request or part
      * @param incarnation incarnation of the target that crashed
      * @param agoMs time since the crash; a relative time, because the clocks of routers differ
      */
-    record CrashReport(Fingerprint request, String incarnation, long agoMs) {}
+    record CrashReport(Fingerprint suspect, String incarnation, long agoMs) {}
 
     /**
-     * A request suspected of crashing targets was completed by a target.
+     * A request suspected of crashing targets, or one with a suspected part, was completed by a target.
      *
-     * @param request fingerprint of the request
-     * @param agoMs time since its completion
+     * @param suspect fingerprint of the request or part
+     * @param agoMs time since it was sent to that target
      */
-    record SuspectCompleted(Fingerprint request, long agoMs) implements RouterToRouter {}
+    record SuspectCompleted(Fingerprint suspect, long agoMs) implements RouterToRouter {}
 
     /**
      * Changes of the rate limits that targets advertise in their responses.
