Sound requests with a part that was only seen beside a crashing one are tried and served

With parts quarantined alone, sound requests were withheld for ten minutes if they share a part that had been seen only in the requests that crash targets: the part was in the same crashes, and as no request with it ran any more, nothing could clear it.

A quarantined suspect of a request is now contested if each of its crashes involved another quarantined suspect that the request does not contain, or, for a part, if its requests ran on targets that ended together. One contested request at a time is sent by each router; the others are told to come back after 500 ms. A whole answer clears the part at all routers, a crash without the other suspect makes the evidence firm. Requests with the part at fault are never contested by the parts they name themselves, so they stay withheld. A verdict ends calls in progress 50 ms later, when all routers have reported what ran on the target; until then the wrong one of two parts may look guilty.

Weighed: to let one router decide for the fleet needs a claim and an answer before each trial, and a part that comes twice a second reaches that router once in N; each router trying one request costs at most one crash per router and only where the evidence is ambiguous.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,6 +40,9 @@
     /** Targets that end within this time may have ended together, for example with the host they run on. */
     static final long SIMULTANEOUS_MS = 100;
 
+    /** Time after the end of a trial within which it is known whether its target has crashed. */
+    static final long TRIAL_PAUSE_MS = 300;
+
     /** Time of an answer to a suspect that has not been answered; far enough from the limits to be added to. */
     public static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -54,6 +58,9 @@
     /** When the last call was sent that was answered completely. */
     private final Map<Fingerprint, Long> answeredSentAtMs = BoundedMap.dropOldest(MAX_ANSWERED);
 
+    /** Until when no further trial of a suspect begins. */
+    private final Map<Fingerprint, Long> trialUntilMs = new HashMap<>();
+
     private Quarantine() {}
 
     /** Creates an empty quarantine. */
@@ -87,6 +94,8 @@
     public enum Decision {
         /** Nothing in it is quarantined. */
         SEND,
+        /** One request at a time may be sent: something else may be to blame for the crashes. */
+        TRY,
         /** The request must not be sent. */
         WITHHOLD
     }
@@ -198,7 +207,57 @@
 
     /** Whether a request may be sent to a target. */
     public Decision decide(Suspects request, long nowMs) {
-        return heldIn(request, nowMs).isPresent() ? Decision.WITHHOLD : Decision.SEND;
+        Decision decision = Decision.SEND;
+        for (Fingerprint suspect : request.all()) {
+            if (holds(suspect, nowMs)) {
+                if (!isContested(suspect, request, nowMs)) {
+                    return Decision.WITHHOLD;
+                }
+                decision = Decision.TRY;
+            }
+        }
+        return decision;
+    }
+
+    /**
+     * Whether something else than a quarantined suspect of a request may be to blame: each of its crashes involved a
+     * quarantined suspect that the request does not contain, or different requests with the suspect ran on targets that
+     * ended together.
+     */
+    private boolean isContested(Fingerprint suspect, Suspects request, long nowMs) {
+        CrashHistory history = crashes.get(suspect);
+        boolean isPart = !suspect.equals(request.request());
+        if (isPart && history.distinctTimes(i -> true, SIMULTANEOUS_MS) == 1) {
+            return true;
+        }
+        List<CrashHistory> others = List.copyOf(crashes.keySet()).stream()
+                .filter(s -> !request.contain(s) && holds(s, nowMs))
+                .map(crashes::get)
+                .toList();
+        return history.incarnations().stream().allMatch(i -> others.stream().anyMatch(o -> o.involves(i)));
+    }
+
+    /**
+     * Claims the single trial of what is quarantined in a request, as {@link Decision#TRY} allows; false if one is under
+     * way.
+     */
+    public boolean beginTrial(Suspects request, long nowMs) {
+        if (isOnTrial(request, nowMs)) {
+            return false;
+        }
+        request.all().stream().filter(s -> holds(s, nowMs)).forEach(s -> trialUntilMs.put(s, Long.MAX_VALUE));
+        return true;
+    }
+
+    /** Whether a request contains something that is on trial. */
+    public boolean isOnTrial(Suspects request, long nowMs) {
+        trialUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
+        return request.all().stream().anyMatch(trialUntilMs::containsKey);
+    }
+
+    /** Ends the trial that a request had claimed. */
+    public void endTrial(Suspects request, long nowMs) {
+        request.all().forEach(s -> trialUntilMs.computeIfPresent(s, (k, v) -> nowMs + TRIAL_PAUSE_MS));
     }
 
     /**
@@ -278,5 +337,6 @@
     /** Lifts all quarantines and discards all crashes. */
     public void lift() {
         crashes.clear();
+        trialUntilMs.clear();
     }
 }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
@@ -150,6 +150,51 @@
         }
     }
 
+    /** Something else than a quarantined suspect may be to blame for its crashes. */
+    @Nested
+    class Trials {
+
+        private final Fingerprint part = Fingerprint.ofPromptPart("part");
+        private final Suspects withPart = Suspects.of(CONCURRENT, List.of("part"));
+
+        private Quarantine.Decision decide(Suspects request) {
+            return quarantine.decide(request, 3_000);
+        }
+
+        @Test
+        void partThatAnotherSuspectWasAlwaysWithMayBeTried() {
+            crashThree(CRASHING, 1_000);
+            crashThree(part, 1_000);
+            assertThat(decide(Suspects.of(CRASHING, List.of("part"))), is(Quarantine.Decision.WITHHOLD));
+            crash(part, "d", 2_000);
+            assertThat(decide(withPart), is(Quarantine.Decision.WITHHOLD));
+            crash(CRASHING, "d", 2_000);
+            assertThat(decide(withPart), is(Quarantine.Decision.TRY));
+            assertThat(quarantine.answered(part, 2_500), is(true));
+            assertThat(decide(withPart), is(Quarantine.Decision.SEND));
+            assertThat(decide(Suspects.of(CRASHING, List.of("part"))), is(Quarantine.Decision.WITHHOLD));
+        }
+
+        /** Guards against withholding a part because a host with several targets has failed. */
+        @Test
+        void partOfRequestsOnTargetsThatEndedTogetherMayBeTried() {
+            crashThree(part, 1_000);
+            assertThat(decide(withPart), is(Quarantine.Decision.TRY));
+            crash(part, "d", 2_000);
+            assertThat(decide(withPart), is(Quarantine.Decision.WITHHOLD));
+        }
+
+        @Test
+        void oneRequestAtATimeIsTried() {
+            crashThree(part, 1_000);
+            assertThat(quarantine.beginTrial(withPart, 3_000), is(true));
+            assertThat(quarantine.beginTrial(withPart, 3_001), is(false));
+            quarantine.endTrial(withPart, 3_100);
+            assertThat(quarantine.beginTrial(withPart, 3_100), is(false));
+            assertThat(quarantine.beginTrial(withPart, 3_100 + Quarantine.TRIAL_PAUSE_MS), is(true));
+        }
+    }
+
     @Nested
     class Expiry {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -97,6 +97,9 @@
          * unless it is cancelled.
          */
         void silent(Attempt attempt, String why);
+
+        /** Called once when the attempt ends, before its outcome is reported. */
+        void attemptEnded();
     }
 
     private Attempt(Forwarder forwarder, Owner owner, Call call, TargetState target) {
@@ -314,6 +317,7 @@
         }
         ended = true;
         forwarder.calls().remove(this);
+        owner.attemptEnded();
         forwarder.placement().ended(call, target, firstByteSeen, MonotonicClock.nowMs());
         if (complete) {
             releaseIfComplete();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -40,6 +40,9 @@
     /** Routers report their calls at a target that has ended one by one; what they reported last may be to blame. */
     private static final long REPORTS_COMPLETE_MS = 50;
 
+    /** Retry delay while a trial decides whether something is to blame: about as long as a short answer takes. */
+    private static final long TRIAL_RETRY_MS = 500;
+
     /** Maximum number of suspects whose names or reported answers are kept. */
     private static final int MAX_SUSPECTS = 4_096;
 
@@ -197,6 +200,39 @@
 
     /** True while a request must not be sent to any target. */
     boolean isQuarantined(Suspects request) {
+        long nowMs = MonotonicClock.nowMs();
+        return switch (quarantine.decide(request, nowMs)) {
+            case SEND -> false;
+            case TRY -> quarantine.isOnTrial(request, nowMs);
+            case WITHHOLD -> true;
+        };
+    }
+
+    /**
+     * Decides about a request that is about to be sent. {@link Quarantine.Decision#TRY} is returned only if the request
+     * has become the trial, which is to be ended by {@link #trialEnded}.
+     */
+    Quarantine.Decision beginSend(Suspects request) {
+        long nowMs = MonotonicClock.nowMs();
+        Quarantine.Decision decision = quarantine.decide(request, nowMs);
+        if (decision != Quarantine.Decision.TRY) {
+            return decision;
+        }
+        if (!quarantine.beginTrial(request, nowMs)) {
+            return Quarantine.Decision.WITHHOLD;
+        }
+        metrics.event("quarantine.trials");
+        LOG.infof("trial begins quarantined=%s", held(request));
+        return decision;
+    }
+
+    /** Ends the trial that a request was. */
+    void trialEnded(Suspects request) {
+        quarantine.endTrial(request, MonotonicClock.nowMs());
+    }
+
+    /** Whether calls in progress of a request must be ended. */
+    boolean isWithheld(Suspects request) {
         return quarantine.decide(request, MonotonicClock.nowMs()) == Quarantine.Decision.WITHHOLD;
     }
 
@@ -208,10 +244,12 @@
     /** Time until a quarantined request may be executed again. */
     long endsInMs(Suspects request) {
         long nowMs = MonotonicClock.nowMs();
-        return request.all().stream()
-                .mapToLong(s -> quarantine.endsInMs(s, nowMs))
-                .max()
-                .orElse(0);
+        return quarantine.decide(request, nowMs) == Quarantine.Decision.TRY
+                ? TRIAL_RETRY_MS
+                : request.all().stream()
+                        .mapToLong(s -> quarantine.endsInMs(s, nowMs))
+                        .max()
+                        .orElse(0);
     }
 
     /** Names what is quarantined in a request, for operators. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -34,6 +34,9 @@
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private Suspects suspects = Suspects.NONE;
+    /** Whether the attempt is the trial of something in the request that is quarantined. */
+    private boolean onTrial;
+
     private boolean repeated;
     private Call waiting;
     private Attempt attempt;
@@ -174,7 +177,7 @@
      * target may still complete it.
      */
     void quarantined() {
-        if (end.finished() || caller.headSent() || !forwarder.crashQuarantine().isQuarantined(suspects)) {
+        if (end.finished() || caller.headSent() || !forwarder.crashQuarantine().isWithheld(suspects)) {
             return;
         }
         if (attempt != null && attempt.isRunning()) {
@@ -186,11 +189,16 @@
 
     @Override
     public boolean prepare(RequestOptions options, TargetState target) {
-        if (end.finished()
-                || plan.remainingMs() <= 0
-                || forwarder.crashQuarantine().isQuarantined(suspects)) {
+        if (end.finished() || plan.remainingMs() <= 0) {
             return false;
         }
+        switch (forwarder.crashQuarantine().beginSend(suspects)) {
+            case SEND -> onTrial = false;
+            case TRY -> onTrial = true;
+            case WITHHOLD -> {
+                return false;
+            }
+        }
         history.recordSend();
         if (history.sendCount() == 1) {
             forwarder.rollouts().callSent(plan.service(), plan.route().name());
@@ -224,6 +232,14 @@
         return suspects.request();
     }
 
+    @Override
+    public void attemptEnded() {
+        if (onTrial) {
+            onTrial = false;
+            forwarder.crashQuarantine().trialEnded(suspects);
+        }
+    }
+
     @Override
     public String routeName() {
         return plan.route().name();
