Answers that end with their connection are whole only if their target lives on

Callers of streams could get a response that looks complete although its engine had crashed before the last event; a stream that may be resumed was not; and parts or requests at fault were cleared by such answers.

Cause: an answer with neither a length nor chunks ends with its connection, and the end of the connection was taken for the end of the answer, whoever closed it; a stream that ends inside an event was a failure for its caller only and no evidence of a crash.

The router now looks 50 ms after such an end, when a process that exits has closed its listening socket, whether the target still accepts connections. If not, the answer was cut: it is resumed or broken off, and its suspects are recorded. Otherwise it is forwarded as whole, and only then clears its suspects. Events are forwarded at once as before; the end of such an answer comes 50 ms later. A draining target may exit after its last answer, so it is not asked, and its answer clears nothing. A stream that ends inside an event counts as a broken connection for everything.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.router.forward;
 
-import java.util.Optional;
+import java.util.Locale;
+import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -21,6 +22,8 @@
     /** Maximum size of a response body that is buffered completely before it is forwarded. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
+    private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
+
     /** A target may cut a response that was not read for this long; its own limit is some seconds. */
     private static final long MIN_UNREAD_MS = 1_000;
 
@@ -35,6 +38,10 @@
     private HttpClientResponse response;
     private boolean requestWritten;
     private boolean firstByteSeen;
+    private boolean responseEnded;
+    /** Whether the response is known to be whole. One that ended with its connection may have been cut. */
+    private boolean provenWhole;
+
     private boolean ended;
     private long sentAtMs = -1;
     private long lastByteAtMs;
@@ -86,6 +93,9 @@
         /** Called with bytes of the stream. */
         void streamBytes(Attempt attempt, Buffer bytes);
 
+        /** Whether the target has sent part of an event. */
+        boolean isInsideEvent();
+
         /** Called when the stream has ended normally. */
         void streamEnded(Attempt attempt);
 
@@ -222,12 +232,7 @@
         });
         r.endHandler(v -> {
             firstByte();
-            boolean good = head.status() < 500;
-            forwarder.placement().answered(target, good, MonotonicClock.nowMs());
-            observer.ended(good);
-            if (finish(true)) {
-                owner.answered(this, head, r, body);
-            }
+            responseEnded(() -> complete(head.status() < 500, () -> owner.answered(this, head, r, body)));
         });
     }
 
@@ -241,10 +246,56 @@
     }
 
     private void streamEnded() {
-        forwarder.placement().answered(target, true, MonotonicClock.nowMs());
-        observer.ended(true);
+        if (!ended && owner.isInsideEvent()) {
+            connectionLost("stream ended inside an event");
+        } else {
+            responseEnded(() -> complete(true, () -> owner.streamEnded(this)));
+        }
+    }
+
+    /**
+     * Handles the end of the response. If nothing but the end of the connection shows it (RFC 9112, section 6.3), the
+     * target may have terminated in the middle of the response.
+     *
+     * @param whole called if the response is whole as far as can be known
+     */
+    private void responseEnded(Runnable whole) {
+        if (ended) {
+            return;
+        }
+        responseEnded = true;
+        if (hasDefinedLength(response)) {
+            provenWhole = true;
+            whole.run();
+            return;
+        }
+        forwarder
+                .crashQuarantine()
+                .terminatedWithResponse(owner.suspects(), target)
+                .onSuccess(terminated -> {
+                    if (terminated) {
+                        endWithFailure("target terminated at the end of a response without length");
+                    } else if (!ended) {
+                        provenWhole = target.isReady();
+                        whole.run();
+                    }
+                });
+    }
+
+    /** Whether the end of the response does not depend on the end of the connection. */
+    private boolean hasDefinedLength(HttpClientResponse r) {
+        String transferEncoding = r.getHeader("Transfer-Encoding");
+        boolean chunked = transferEncoding != null
+                && transferEncoding.toLowerCase(Locale.ROOT).contains("chunked");
+        boolean bodiless = request.getMethod() == HttpMethod.HEAD || BODILESS_STATUSES.contains(r.statusCode());
+        return chunked || bodiless || r.getHeader("Content-Length") != null;
+    }
+
+    private void complete(boolean good, Runnable report) {
+        forwarder.placement().answered(target, good, MonotonicClock.nowMs());
+        observer.ended(good);
         if (finish(true)) {
-            owner.streamEnded(this);
+            report.run();
         }
     }
 
@@ -266,6 +317,12 @@
     }
 
     private void connectionLost(Throwable e) {
+        if (!responseEnded) {
+            connectionLost(e.getMessage());
+        }
+    }
+
+    private void connectionLost(String why) {
         if (!ended && unreadMs(MonotonicClock.nowMs()) >= MIN_UNREAD_MS) {
             // The target has cut a response that this router did not read; that says nothing about its health.
             forwarder.metrics().event("readers.target_cut");
@@ -277,7 +334,7 @@
         if (!ended) {
             forwarder.crashQuarantine().connectionBroke(owner.suspects(), target);
         }
-        endWithFailure(e.getMessage());
+        endWithFailure(why);
     }
 
     private void endWithFailure(String why) {
@@ -340,10 +397,7 @@
         TargetConnection c = connection;
         connection = null;
         String connectionHeader = response.getHeader("Connection");
-        boolean hasDefinedLength = response.getHeader("Content-Length") != null
-                || Optional.ofNullable(response.getHeader("Transfer-Encoding")).isPresent();
-        if (connectionHeader != null && connectionHeader.equalsIgnoreCase("close")
-                || !hasDefinedLength && response.statusCode() != 204) {
+        if (connectionHeader != null && connectionHeader.equalsIgnoreCase("close") || !hasDefinedLength(response)) {
             c.http().close();
         } else {
             forwarder.connections().release(c, response.getHeader("Keep-Alive"));
@@ -386,6 +440,11 @@
         return firstByteSeen;
     }
 
+    /** Whether the response is known to be whole. */
+    boolean provenWhole() {
+        return provenWhole;
+    }
+
     /** When the call was sent; -1 before that. */
     long sentAtMs() {
         return sentAtMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.collect.BoundedMap;
@@ -37,6 +38,9 @@
 
     private static final long PROBE_INTERVAL_MS = 150;
 
+    /** Time that a terminating process takes at most to close its listening socket after its connections. */
+    private static final long EXIT_TIME_MS = 50;
+
     /** Routers report their calls at a target that has ended one by one; what they reported last may be to blame. */
     private static final long REPORTS_COMPLETE_MS = 50;
 
@@ -94,6 +98,24 @@
         }
     }
 
+    /**
+     * Finds out whether a target has terminated that closed its connection at the end of a response. A draining target
+     * may terminate after its last response, so it is not asked.
+     */
+    Future<Boolean> terminatedWithResponse(Suspects request, TargetState target) {
+        connectionBroke(request, target);
+        if (!target.isReady()) {
+            return Future.succeededFuture(false);
+        }
+        return vertx.timer(EXIT_TIME_MS)
+                .compose(t -> brokenCalls.hasEnded(target.incarnation(), MonotonicClock.nowMs())
+                        ? Future.succeededFuture(true)
+                        : connections.probe(target.info()).map(false).recover(e -> {
+                            connectFailed(target, e);
+                            return Future.succeededFuture(ConnectErrors.refused(e));
+                        }));
+    }
+
     private void nameParts(Suspects request) {
         request.partIds().forEach(id -> partIds.put(Fingerprint.ofPromptPart(id), id));
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -291,7 +291,7 @@
             return;
         }
         history.markExecuted();
-        forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
+        clearSuspects(a);
         boolean retriable = head.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
         if (retriable && history.fallback() == null) {
             history.exclude(a.target());
@@ -334,23 +334,30 @@
         }
     }
 
+    @Override
+    public boolean isInsideEvent() {
+        return stream.hasPartialEvent();
+    }
+
     @Override
     public void streamEnded(Attempt a) {
         if (end.finished()) {
             return;
         }
         history.markExecuted();
-        if (stream.hasPartialEvent()) {
-            connectionBroke(a, "stream ended inside an event");
-            return;
-        }
-        forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
+        clearSuspects(a);
         forwarder
                 .lengths()
                 .ended(plan.route().name(), stream.events(), plan.head().expectedOutputTokens());
         end.streamEnded(stream.events());
     }
 
+    private void clearSuspects(Attempt a) {
+        if (a.provenWhole()) {
+            forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
+        }
+    }
+
     @Override
     public void connectionBroke(Attempt a, String why) {
         recordBrokenAttempt(a, why);
