A router without processor time closes new connections unread

When a load balancer hands the new connections of a fleet to one router, that router read every request and served next to none: each call was late before its turn came, and was refused although other routers had time for it. ConcentratedConnectionsTest: 12 of 800 requests read were served at twice the load that the processor bears.

Slots were ruled out (OneRouterTest). Now a router whose requests have begun more than 100 ms late for 500 ms closes new connections before it reads a request, whenever one would begin that late, if it knows another router; the caller's next attempt reaches that one. The delay is that of the event loop's timers plus the expected wait in the intake queue. One connection in 250 ms is accepted in any case, since a load balancer takes a ready router to accept some. What was read is served or refused as before.

Tried and reverted: closing connections as soon as one measurement is late. In a router that has just started, loading classes takes that long, and RefusalPathsTest failed in 5 of 7 runs because one of its calls was sent away. Weighed: reporting itself as not ready moves all new connections to the next router, which then has the same load; refusing with 503 costs a read and is no attempt at another router for callers that may not repeat.

After: at least three quarters of the requests read after the first second are served, none of the connections closed had its request read, and a request is read at least once a second; three runs in a row.

--- /dev/null
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/admit/ConnectionAdmission.java
@@ -0,0 +1,67 @@
+package org.onyxhinge.core.admit;
+
+/**
+ * Decides which new connections of callers a router accepts while it lacks processor time. Beyond what the processor
+ * bears, every further request makes the others late, and none would be served. A connection that is closed before its
+ * request is read costs the caller little: a load balancer hands its next attempt to another router.
+ *
+ * <p>Requests that begin late for a moment, as in a router that has just started, are still served; connections are
+ * closed only once that has lasted.
+ *
+ * <p>Not thread-safe. Times are milliseconds of one monotonic clock.
+ */
+public final class ConnectionAdmission {
+
+    /** A request that begins this late may still be on time; the most urgent ones allow a few hundred ms. */
+    static final long MAX_BEGIN_DELAY_MS = 100;
+
+    /** How long requests must have begun late before connections are closed, or on time before none are any more. */
+    static final long CONFIRMATION_MS = 500;
+
+    /**
+     * One connection is accepted at least this often: a load balancer that finds a router ready expects it to accept
+     * connections.
+     */
+    static final long MAX_ACCEPT_INTERVAL_MS = 250;
+
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+    private boolean overloaded;
+    /** Since when every request has begun late, or on time if the router is overloaded. */
+    private long changingSinceMs = NEVER_MS;
+
+    private long lastAcceptedAtMs = NEVER_MS;
+
+    private ConnectionAdmission() {}
+
+    /** Creates an instance that has accepted no connection. */
+    public static ConnectionAdmission create() {
+        return new ConnectionAdmission();
+    }
+
+    /**
+     * Returns whether to accept a connection.
+     *
+     * @param beginDelayMs how long a request that arrives now would wait before the router begins it
+     */
+    public boolean accepts(long beginDelayMs, long nowMs) {
+        boolean late = beginDelayMs > MAX_BEGIN_DELAY_MS;
+        updateState(late, nowMs);
+        boolean accepted = !(overloaded && late) || nowMs - lastAcceptedAtMs >= MAX_ACCEPT_INTERVAL_MS;
+        if (accepted) {
+            lastAcceptedAtMs = nowMs;
+        }
+        return accepted;
+    }
+
+    private void updateState(boolean late, long nowMs) {
+        if (late == overloaded) {
+            changingSinceMs = NEVER_MS;
+        } else if (changingSinceMs == NEVER_MS) {
+            changingSinceMs = nowMs;
+        } else if (nowMs - changingSinceMs >= CONFIRMATION_MS) {
+            overloaded = late;
+            changingSinceMs = NEVER_MS;
+        }
+    }
+}
--- /dev/null
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/admit/ConnectionAdmissionTest.java
@@ -0,0 +1,61 @@
+package org.onyxhinge.core.admit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class ConnectionAdmissionTest {
+
+    private static final long OVERLOADED_MS = ConnectionAdmission.MAX_BEGIN_DELAY_MS + 1;
+
+    private final ConnectionAdmission admission = ConnectionAdmission.create();
+
+    @Test
+    void everyConnectionIsAcceptedWhileRequestsBeginSoon() {
+        for (int i = 0; i < 100; i++) {
+            assertThat(admission.accepts(ConnectionAdmission.MAX_BEGIN_DELAY_MS, 0), is(true));
+        }
+    }
+
+    /** Guards against callers that are sent away because a router has just started and is slow for a moment. */
+    @Test
+    void connectionsAreAcceptedDuringAShortDelay() {
+        for (long ms = 0; ms < ConnectionAdmission.CONFIRMATION_MS; ms++) {
+            assertThat(admission.accepts(OVERLOADED_MS, ms), is(true));
+        }
+        assertThat(admission.accepts(0, ConnectionAdmission.CONFIRMATION_MS), is(true));
+        assertThat(admission.accepts(OVERLOADED_MS, ConnectionAdmission.CONFIRMATION_MS + 1), is(true));
+    }
+
+    @Test
+    void connectionsAreAcceptedWheneverRequestsBeginSoon() {
+        for (long ms = 0; ms < 1_000; ms++) {
+            admission.accepts(OVERLOADED_MS, ms);
+        }
+        assertThat(admission.accepts(OVERLOADED_MS, 1_001), is(false));
+        assertThat(admission.accepts(0, 1_002), is(true));
+        assertThat(admission.accepts(OVERLOADED_MS, 1_003), is(false));
+        for (long ms = 1_004; ms < 2_000; ms++) {
+            admission.accepts(0, ms);
+        }
+        assertThat(admission.accepts(OVERLOADED_MS, 2_000), is(true));
+    }
+
+    /** Guards against a router that a load balancer finds ready but that accepts nothing for some seconds. */
+    @Test
+    void someConnectionsAreAcceptedUnderLastingOverload() {
+        int accepted = 0;
+        long lastAcceptedMs = 0;
+        for (long ms = 0; ms < 10_000; ms++) {
+            if (admission.accepts(OVERLOADED_MS, ms)) {
+                assertThat(ms - lastAcceptedMs, lessThanOrEqualTo(ConnectionAdmission.MAX_ACCEPT_INTERVAL_MS));
+                lastAcceptedMs = ms;
+                accepted += ms > ConnectionAdmission.CONFIRMATION_MS ? 1 : 0;
+            }
+        }
+        long overloadedMs = 10_000 - ConnectionAdmission.CONFIRMATION_MS;
+        assertThat((long) accepted, lessThanOrEqualTo(overloadedMs / ConnectionAdmission.MAX_ACCEPT_INTERVAL_MS));
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -67,10 +67,11 @@
     private final StreamOrigins streamOrigins;
     private final PeerDelegate peerDelegate;
     private final GracefulShutdown shutdown;
-    private final CallerConnections callers = new CallerConnections();
+    private final CallerConnections callers;
     private final SlowReaders readers;
     private Context context;
     private StartScheduler startScheduler;
+    private EventLoopDelay loopDelay;
     private WaitingExchanges waiting;
     private RouterPeers peers;
     private RecoveryRecords records;
@@ -99,6 +100,7 @@
         this.shutdown = new GracefulShutdown(settings.graceMs());
         this.connections = TargetConnections.create(vertx);
         this.readers = new SlowReaders(vertx, settings.contention().readers(), metrics, calls::cutReader);
+        this.callers = new CallerConnections(metrics, this::beginDelayMs, () -> peers.expectedRouters() > 1);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
         this.crashQuarantine = new CrashQuarantine(vertx, connections, metrics, this::broadcast, calls::quarantined);
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
@@ -125,6 +127,7 @@
         Promise<Forwarder> started = Promise.promise();
         f.context = vertx.getOrCreateContext();
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
+        f.loopDelay = EventLoopDelay.start(vertx, f.context);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
         f.targets = new TargetRegistry(
                 f.context,
@@ -157,6 +160,11 @@
                 });
     }
 
+    /** How long a request that arrives now would wait before it is begun. */
+    private long beginDelayMs() {
+        return loopDelay.delayMs(MonotonicClock.nowMs()) + startScheduler.expectedWaitMs();
+    }
+
     private void malformed(HttpServerRequest request) {
         metrics.event("callers.malformed");
         HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StartScheduler.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StartScheduler.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** How long a request of any rank that arrives now would wait in the queue. */
+    long expectedWaitMs() {
+        return queue.expectedWaitMs(Integer.MAX_VALUE);
+    }
+
     /** Number of requests whose processing has not started. */
     int queuedCount() {
         return queue.size();
