--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
@@ -7,7 +7,7 @@
 /** Measures how long events wait for an event loop: the time by which its timers are late. */
 final class EventLoopDelay {
 
-    private static final long INTERVAL_MS = 10;
+    private static final long INTERVAL_MS = 50;
 
     private final Vertx vertx;
     private long dueAtMs;
