Only whole, successful answers clear a part of a prompt

Found by reading the change: a part that crashes targets was cleared by any complete response, so by the 500 of a target that fails before it begins to work on the request, and one more target could end for each such error.

A success clears the request and its parts. A rejection clears the request alone, since its target has not used the prompt. A server error clears nothing. The interface that Attempt reports to, and how the end of a response is recognized, are files of their own.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Suspects.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Suspects.java
@@ -30,6 +30,11 @@
         return new Suspects(request, partIds, all);
     }
 
+    /** Returns the request alone. */
+    public Suspects withoutParts() {
+        return of(request, List.of());
+    }
+
     /** Whether the request is, or its prompt contains, what a fingerprint identifies. */
     public boolean contain(Fingerprint fingerprint) {
         return all.contains(fingerprint);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -1,8 +1,5 @@
 package org.onyxhinge.router.forward;
 
-import java.util.Locale;
-import java.util.Set;
-
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -10,7 +7,6 @@
 import io.vertx.core.http.RequestOptions;
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.TargetState;
-import org.onyxhinge.core.quarantine.Suspects;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -22,13 +18,11 @@
     /** Maximum size of a response body that is buffered completely before it is forwarded. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
-    private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
-
     /** A target may cut a response that was not read for this long; its own limit is some seconds. */
     private static final long MIN_UNREAD_MS = 1_000;
 
     private final Forwarder forwarder;
-    private final Owner owner;
+    private final AttemptOwner owner;
     private final Call call;
     private final TargetState target;
     private final long ownPrefillTokens;
@@ -54,65 +48,7 @@
 
     private Buffer body;
 
-    /** Supplies the request of an attempt and receives its events. */
-    interface Owner {
-
-        /** Fills in the request for the target; false if the call must no longer be sent. */
-        boolean prepare(RequestOptions options, TargetState target);
-
-        /** Whether the call may be sent to another target after this one may have executed it. */
-        boolean repeatable();
-
-        /** The request body. */
-        Buffer body();
-
-        /** The request id that the caller chose. */
-        String requestId();
-
-        /** Name of the caller's route. */
-        String routeName();
-
-        /** What in the call may be at fault if the target ends. */
-        Suspects suspects();
-
-        /** Called with what the response headers say about the target itself. */
-        void targetNotices(ResponseHead head);
-
-        /** Called when the attempt failed before any byte was sent; the call was not executed. */
-        void notSent(Attempt attempt, String why);
-
-        /** Called when the target states that it did not execute the call. */
-        void notRun(Attempt attempt, ResponseHead head, HttpClientResponse response);
-
-        /** Called with a complete response. */
-        void answered(Attempt attempt, ResponseHead head, HttpClientResponse response, Buffer body);
-
-        /** Called when an event stream begins; if it returns false, the response is buffered instead. */
-        boolean streamBegins(Attempt attempt, ResponseHead head, HttpClientResponse response);
-
-        /** Called with bytes of the stream. */
-        void streamBytes(Attempt attempt, Buffer bytes);
-
-        /** Whether the target has sent part of an event. */
-        boolean isInsideEvent();
-
-        /** Called when the stream has ended normally. */
-        void streamEnded(Attempt attempt);
-
-        /** Called when the connection broke after the call was sent; the call may have been executed. */
-        void connectionBroke(Attempt attempt, String why);
-
-        /**
-         * Called when the target has been silent for too long. The attempt stays active and may still be answered
-         * unless it is cancelled.
-         */
-        void silent(Attempt attempt, String why);
-
-        /** Called once when the attempt ends, before its outcome is reported. */
-        void attemptEnded();
-    }
-
-    private Attempt(Forwarder forwarder, Owner owner, Call call, TargetState target) {
+    private Attempt(Forwarder forwarder, AttemptOwner owner, Call call, TargetState target) {
         this.forwarder = forwarder;
         this.owner = owner;
         this.call = call;
@@ -122,7 +58,7 @@
     }
 
     /** Starts an attempt; the placement has already counted it against the target. */
-    static Attempt start(Forwarder forwarder, Owner owner, Call call, TargetState target) {
+    static Attempt start(Forwarder forwarder, AttemptOwner owner, Call call, TargetState target) {
         Attempt a = new Attempt(forwarder, owner, call, target);
         forwarder.calls().add(a);
         return a;
@@ -254,7 +190,7 @@
     }
 
     /**
-     * Handles the end of the response. If nothing but the end of the connection shows it (RFC 9112, section 6.3), the
+     * Handles the end of the response. If nothing but the end of the connection shows it, the
      * target may have terminated in the middle of the response.
      *
      * @param whole called if the response is whole as far as can be known
@@ -264,7 +200,7 @@
             return;
         }
         responseEnded = true;
-        if (hasDefinedLength(response)) {
+        if (ResponseFraming.hasDefinedLength(request.getMethod(), response)) {
             provenWhole = true;
             whole.run();
             return;
@@ -282,15 +218,6 @@
                 });
     }
 
-    /** Whether the end of the response does not depend on the end of the connection. */
-    private boolean hasDefinedLength(HttpClientResponse r) {
-        String transferEncoding = r.getHeader("Transfer-Encoding");
-        boolean chunked = transferEncoding != null
-                && transferEncoding.toLowerCase(Locale.ROOT).contains("chunked");
-        boolean bodiless = request.getMethod() == HttpMethod.HEAD || BODILESS_STATUSES.contains(r.statusCode());
-        return chunked || bodiless || r.getHeader("Content-Length") != null;
-    }
-
     private void complete(boolean good, Runnable report) {
         forwarder.placement().answered(target, good, MonotonicClock.nowMs());
         observer.ended(good);
@@ -397,7 +324,8 @@
         TargetConnection c = connection;
         connection = null;
         String connectionHeader = response.getHeader("Connection");
-        if (connectionHeader != null && connectionHeader.equalsIgnoreCase("close") || !hasDefinedLength(response)) {
+        if (connectionHeader != null && connectionHeader.equalsIgnoreCase("close")
+                || !ResponseFraming.hasDefinedLength(request.getMethod(), response)) {
             c.http().close();
         } else {
             forwarder.connections().release(c, response.getHeader("Keep-Alive"));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -205,15 +205,14 @@
                 .collect(Collectors.joining("; "));
     }
 
-    /**
-     * Records that a target returned a complete response to a request.
-     *
-     * @param sentAtMs when the request was sent to it
-     */
-    void answered(Suspects request, long sentAtMs) {
+    /** Records that an attempt has returned a response to a request; only one that is known to be whole counts. */
+    void answered(Suspects request, Attempt attempt) {
+        if (!attempt.provenWhole()) {
+            return;
+        }
         long nowMs = MonotonicClock.nowMs();
         for (Fingerprint suspect : request.all()) {
-            if (quarantine.answered(suspect, sentAtMs)) {
+            if (quarantine.answered(suspect, attempt.sentAtMs())) {
                 LOG.infof("suspect cleared suspect=%s", name(suspect));
                 broadcastAnswered(suspect, nowMs);
             }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -21,7 +21,9 @@
  * One request of a caller, from its head to its single final response. It is checked, waits for a slot, and is sent to
  * a target; it is sent to another target only if that cannot execute it twice or its route allows it.
  */
-final class Exchange implements Attempt.Owner {
+final class Exchange implements AttemptOwner {
+
+    private static final int INTERNAL_SERVER_ERROR = 500;
 
     private final Forwarder forwarder;
     private final HttpServerRequest request;
@@ -291,8 +293,9 @@
             return;
         }
         history.markExecuted();
-        clearSuspects(a);
-        boolean retriable = head.status() >= 500 && plan.route().kind() == CallKind.IDEMPOTENT;
+        clearSuspects(a, head);
+        boolean retriable =
+                head.status() >= INTERNAL_SERVER_ERROR && plan.route().kind() == CallKind.IDEMPOTENT;
         if (retriable && history.fallback() == null) {
             history.exclude(a.target());
             if (history.consumeRetry(plan, forwarder)) {
@@ -345,16 +348,21 @@
             return;
         }
         history.markExecuted();
-        clearSuspects(a);
+        forwarder.crashQuarantine().answered(suspects, a);
         forwarder
                 .lengths()
                 .ended(plan.route().name(), stream.events(), plan.head().expectedOutputTokens());
         end.streamEnded(stream.events());
     }
 
-    private void clearSuspects(Attempt a) {
-        if (a.provenWhole()) {
-            forwarder.crashQuarantine().answered(suspects, a.sentAtMs());
+    /**
+     * A target that fails may not have begun to work on the request, and one that rejects it has not used its prompt.
+     */
+    private void clearSuspects(Attempt a, ResponseHead head) {
+        if (head.success()) {
+            forwarder.crashQuarantine().answered(suspects, a);
+        } else if (head.status() < INTERNAL_SERVER_ERROR) {
+            forwarder.crashQuarantine().answered(suspects.withoutParts(), a);
         }
     }
 
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ResponseFraming.java
@@ -0,0 +1,24 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Locale;
+import java.util.Set;
+
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+
+/** How the end of a target's response is recognized (RFC 9112, section 6.3). */
+final class ResponseFraming {
+
+    private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
+
+    private ResponseFraming() {}
+
+    /** Whether the end of a response to a request of a method does not depend on the end of the connection. */
+    static boolean hasDefinedLength(HttpMethod method, HttpClientResponse response) {
+        String transferEncoding = response.getHeader("Transfer-Encoding");
+        boolean chunked = transferEncoding != null
+                && transferEncoding.toLowerCase(Locale.ROOT).contains("chunked");
+        boolean bodiless = method == HttpMethod.HEAD || BODILESS_STATUSES.contains(response.statusCode());
+        return chunked || bodiless || response.getHeader("Content-Length") != null;
+    }
+}
