--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -295,11 +295,6 @@
         return crashes.get(suspect).newestAtMs(needed - 1) + CRASH_RETENTION_MS - nowMs;
     }
 
-    /** The first of a request's suspects that is quarantined. */
-    public Optional<Fingerprint> heldIn(Suspects request, long nowMs) {
-        return request.all().stream().filter(s -> holds(s, nowMs)).findFirst();
-    }
-
     /** All crashes that count, for a router that has no state yet. */
     public List<Crash> crashes(long nowMs) {
         List<Crash> out = new ArrayList<>();
