Review: a router never reads the store again after one failed handler

Case 2 of the independent review; what was case 2 is case 3 now. The store turns one of three routers away for 4.5 s while 25 versions of a configuration of 763 KB come. The first answer of the watch afterwards makes one handler run out of memory; the next poll is never started, and the router goes on with the old configuration until it is restarted.

--- a/review/standins/CutAnswers.java
+++ b/review/standins/CutAnswers.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 2: a burst of requests with long answers meets one router while engines are slow. A success must be whole. */
+/** Case 3: a burst of requests with long answers meets one router while engines are slow. A success must be whole. */
 final class CutAnswers {
 
     /** The length of an answer. */
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -17,6 +17,8 @@
 final class Store {
 
     private static final int PAGE = 400;
+    private static final int PAGE_BYTES = 1 << 20;
+    private static final long HISTORY_NANOS = 20_000_000_000L;
 
     /** What becomes of a call. */
     enum Fate {
@@ -42,19 +44,41 @@
         }
     }
 
-    private record Event(String key, long revision, String json) {}
+    private record Event(String key, long revision, String json, long atNanos) {}
 
-    private final ServerSocket server;
+    /** An address of the store; what becomes of the calls that come there can be set. */
+    final class Door {
+        private final ServerSocket server;
+        private volatile Faults faults = (method, path, body) -> Fate.ANSWERED;
+
+        private Door() throws IOException {
+            server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+            World.loop(() -> {
+                Socket s = server.accept();
+                World.start(() -> serve(s, this));
+            });
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        void faults(Faults now) {
+            faults = now;
+        }
+    }
+
+    private final Door door;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Event> history = new ArrayList<>();
     private final Map<Long, long[]> leases = new HashMap<>();
     private long revision = 100;
+    /** The newest revision that the history no longer has. */
+    private long forgotten = 100;
     private long nextLease = 7_000;
-    private volatile Faults faults = (method, path, body) -> Fate.ANSWERED;
 
     Store() throws IOException {
-        server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        World.loop(this::accept);
+        door = new Door();
         World.loop(() -> {
             Thread.sleep(50);
             expire();
@@ -62,11 +86,12 @@
     }
 
     String address() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return door.address();
     }
 
-    void faults(Faults now) {
-        faults = now;
+    /** Opens another address, for one machine. */
+    Door open() throws IOException {
+        return new Door();
     }
 
     /** Writes as the operator or an engine does; returns the revision. */
@@ -78,7 +103,7 @@
         Item before = items.get(key);
         Item item = new Item(value, atRevision, before == null ? atRevision : before.created(), lease);
         items.put(key, item);
-        history.add(new Event(key, atRevision, item.json(key)));
+        history.add(new Event(key, atRevision, item.json(key), System.nanoTime()));
         notifyAll();
         return atRevision;
     }
@@ -92,7 +117,8 @@
             history.add(new Event(
                     key,
                     atRevision,
-                    "{\"key\":" + Json.quote(key) + ",\"revision\":" + atRevision + ",\"deleted\":true}"));
+                    "{\"key\":" + Json.quote(key) + ",\"revision\":" + atRevision + ",\"deleted\":true}",
+                    System.nanoTime()));
             notifyAll();
         }
     }
@@ -105,6 +131,9 @@
 
     private synchronized void expire() {
         long now = System.nanoTime();
+        while (!history.isEmpty() && now - history.getFirst().atNanos() > HISTORY_NANOS) {
+            forgotten = history.removeFirst().revision();
+        }
         leases.entrySet().removeIf(e -> {
             boolean over = now > e.getValue()[1];
             if (over) {
@@ -120,18 +149,13 @@
                 .forEach(i -> remove(i.getKey(), ++revision));
     }
 
-    private void accept() throws IOException {
-        Socket s = server.accept();
-        World.start(() -> serve(s));
-    }
-
-    private void serve(Socket s) throws Exception {
+    private void serve(Socket s, Door at) throws Exception {
         try (s) {
             s.setTcpNoDelay(true);
             InputStream in = Http.buffered(s.getInputStream());
             for (Http.Message m = Http.read(in, false); m != null; m = Http.read(in, false)) {
                 String[] words = m.words();
-                Fate fate = faults.fate(words[0], words[1], m.text());
+                Fate fate = at.faults.fate(words[0], words[1], m.text());
                 String[] answer = {"503", "{}"};
                 if (fate == Fate.ANSWERED || fate == Fate.LOST) {
                     answer = handle(words[0], words[1], m.text());
@@ -208,14 +232,16 @@
         String after = query.get("afterRev");
         List<String> out = new ArrayList<>();
         boolean truncated = false;
+        long bytes = 0;
         for (Map.Entry<String, Item> e : items.tailMap(after == null ? prefix : after, after == null).entrySet()) {
             if (!e.getKey().startsWith(prefix)) {
                 break;
             }
-            if (out.size() == PAGE) {
+            if (out.size() == PAGE || !out.isEmpty() && bytes + e.getValue().value().length() > PAGE_BYTES) {
                 truncated = true;
                 break;
             }
+            bytes += e.getValue().value().length();
             out.add(e.getValue().json(e.getKey()));
         }
         return new String[] {
@@ -230,6 +256,9 @@
         long after = Long.parseLong(query.get("afterRev"));
         long until = System.nanoTime() + Long.parseLong(query.get("waitMs")) * 1_000_000;
         while (true) {
+            if (after < forgotten) {
+                return new String[] {"410", "{}"};
+            }
             List<String> out = new ArrayList<>();
             for (int i = history.size() - 1; i >= 0 && history.get(i).revision() > after; i--) {
                 if (history.get(i).key().startsWith(prefix)) {
