Review: a planned stop cuts a stream whose engine is silent for a second

A router gives up a running resumable stream after a second of silence, the engine that it moves the stream to is full, and the stream is cut.

--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -23,12 +23,18 @@
     private final ServerSocket server;
     private final Semaphore slots;
     private final int slotCount;
+    private final String zone;
     private final Store store;
     private final Behaviour behaviour;
     private volatile String state = "ready";
     private int seq;
 
     Engine(Store store, String id, String service, int slotCount, Behaviour behaviour) throws IOException {
+        this(store, id, service, slotCount, "halfway-tree", behaviour);
+    }
+
+    Engine(Store store, String id, String service, int slotCount, String zone, Behaviour behaviour) throws IOException {
+        this.zone = zone;
         this.store = store;
         this.id = id;
         this.service = service;
@@ -54,7 +60,7 @@
         store.put(
                 "servers/" + id,
                 "{\"service\":\"" + service + "\",\"address\":\"" + address()
-                        + "\",\"zone\":\"halfway-tree\",\"version\":\"v1\",\"slots\":" + slotCount + ",\"state\":\""
+                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slotCount + ",\"state\":\""
                         + state + "\",\"coldLeftMs\":0,\"seq\":" + (++seq) + "}");
     }
 
