--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -56,6 +56,7 @@
         this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
         this.attempts = new CallAttempts(forwarder, this, logEntry);
         this.intake = new ExchangeIntake(forwarder, this, request, end, logEntry, arrivedAtMs);
+        logEntry.loopDelayMs = forwarder.loopDelay().delayMs(arrivedAtMs);
     }
 
     /** Starts an exchange for a new request. */
@@ -611,11 +612,25 @@
     /** Stops all work for a caller that has disconnected. */
     private void callerDisconnected() {
         if (!end.finished()) {
+            CallStep step = step();
             cancelWork();
-            end.callerLeft();
+            end.callerLeft(step);
         }
     }
 
+    private CallStep step() {
+        if (caller.headSent()) {
+            return CallStep.RESPONDING;
+        }
+        if (attempts.isRunning()) {
+            return CallStep.SENT;
+        }
+        if (waiting != null) {
+            return CallStep.QUEUED;
+        }
+        return attempts.current().isPresent() ? CallStep.PLACED : CallStep.INTAKE;
+    }
+
     private void cancelWork() {
         if (waiting != null) {
             forwarder.placement().withdraw(waiting);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward;
 
+import java.util.Locale;
 import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
@@ -170,8 +171,10 @@
     }
 
     /** Ends an exchange whose caller has disconnected. */
-    void callerLeft() {
-        end("caller_left", "");
+    void callerLeft(CallStep step) {
+        String name = step.name().toLowerCase(Locale.ROOT);
+        forwarder.metrics().event("callers.left." + name);
+        end("caller_left", name);
     }
 
     private void end(String outcome, String why) {
