--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -88,8 +88,12 @@
         }
     }
 
+    /** Sends the call on a connection, unless its caller turns out to have left. */
     private void connected(TargetConnection c) {
-        connection = c;
+        forwarder.reads().afterRead(() -> sendOn(c));
+    }
+
+    private void sendOn(TargetConnection c) {
         if (ended) {
             forwarder.connections().release(c, null);
             return;
@@ -97,10 +101,10 @@
         RequestOptions options = new RequestOptions();
         if (!target.acceptsSends(call, MonotonicClock.nowMs()) || !owner.prepare(options, this)) {
             forwarder.connections().release(c, null);
-            connection = null;
             endNotSent("call ended before it was sent");
             return;
         }
+        connection = c;
         c.http().request(options).onSuccess(this::send).onFailure(e -> endNotSent("request: " + e.getMessage()));
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -28,6 +28,7 @@
 import org.onyxhinge.core.route.Route;
 import org.onyxhinge.core.route.TargetService;
 import org.onyxhinge.runtime.ProcessNetwork;
+import org.onyxhinge.runtime.ReadBarrier;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -76,6 +77,7 @@
     private final ProcessNetwork network;
     private final SlowReaders readers;
     private Context context;
+    private ReadBarrier reads;
     private StartScheduler startScheduler;
     private EventLoopDelay loopDelay;
     private WaitingExchanges waiting;
@@ -143,6 +145,7 @@
         Promise<Forwarder> started = Promise.promise();
         f.context = vertx.getOrCreateContext();
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
+        f.reads = ReadBarrier.of(f.context);
         f.loopDelay = EventLoopDelay.start(vertx, f.context);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
         f.targets = new TargetRegistry(
@@ -471,6 +474,11 @@
         return config.current().filter(c -> peerDelegate.hasConfig());
     }
 
+    /** What a call passes before it is sent: its caller may have left, and that may be unread. */
+    ReadBarrier reads() {
+        return reads;
+    }
+
     StartScheduler startScheduler() {
         return startScheduler;
     }
