--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
@@ -31,7 +31,7 @@
         var client = vertx.createHttpClient(
                 new HttpClientOptions().setKeepAlive(true).setTcpNoDelay(true),
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET));
-        Dispatcher dispatcher = Dispatcher.create(client, node, node.metrics());
+        Dispatcher dispatcher = Dispatcher.create(client, node, node.metrics(), context);
         Router router = Router.router(vertx);
         CallerApi.mount(
                 router,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.dispatch;
 
+import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -15,6 +16,7 @@
 import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
 import org.onyxhinge.router.RouterMetrics;
+import org.onyxhinge.runtime.ReadBarrier;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.http.BoundedBody;
 import org.onyxhinge.wire.http.InterimResponses;
@@ -41,16 +43,22 @@
     private final HttpClient client;
     private final ControlPlane control;
     private final RouterMetrics metrics;
+    private final ReadBarrier reads;
 
-    private Dispatcher(HttpClient client, ControlPlane control, RouterMetrics metrics) {
+    private Dispatcher(HttpClient client, ControlPlane control, RouterMetrics metrics, ReadBarrier reads) {
         this.client = client;
         this.control = control;
         this.metrics = metrics;
+        this.reads = reads;
     }
 
-    /** Creates a dispatcher that sends with {@code client}, which must belong to the same traffic context. */
-    public static Dispatcher create(HttpClient client, ControlPlane control, RouterMetrics metrics) {
-        return new Dispatcher(client, control, metrics);
+    /**
+     * Creates a dispatcher that sends with {@code client}.
+     *
+     * @param context the traffic context, to which the client must belong
+     */
+    public static Dispatcher create(HttpClient client, ControlPlane control, RouterMetrics metrics, Context context) {
+        return new Dispatcher(client, control, metrics, ReadBarrier.of(context));
     }
 
     /** Sends a request to an engine. Must be called on the request's traffic context. */
@@ -62,7 +70,7 @@
         f.dispatchedNs = System.nanoTime();
         client.request(options(f, engine))
                 .onFailure(e -> onConnectFailure(f, engine, e))
-                .onSuccess(req -> send(f, req));
+                .onSuccess(req -> reads.afterRead(() -> send(f, req)));
     }
 
     private static RequestOptions options(InFlightRequest f, EngineInfo engine) {
@@ -80,7 +88,7 @@
         return options;
     }
 
-    /** Sends the request on an established connection, unless the request ended while waiting for it. */
+    /** Sends the request on an established connection, unless its caller has left or it has ended otherwise. */
     private void send(InFlightRequest f, HttpClientRequest req) {
         if (!f.lifecycle.tryFire("send")) {
             req.reset();
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/dispatch/DispatcherTest.java
@@ -64,7 +64,7 @@
     void start() {
         trafficContext = vertx.getOrCreateContext();
         var client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(1));
-        dispatcher = Dispatcher.create(client, control, new RouterMetrics());
+        dispatcher = Dispatcher.create(client, control, new RouterMetrics(), trafficContext);
         target = Launch.await(
                 vertx.createHttpServer()
                         .requestHandler(req -> {
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ProcessFailureTest.java
@@ -1,5 +1,7 @@
 package org.onyxhinge.tools;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -193,6 +195,53 @@
         }
     }
 
+    @Nested
+    class RouterPaused {
+
+        private static final int CALLERS = 40;
+
+        /** Guards against requests that are sent on before the ends of their callers' connections are read. */
+        @Test
+        void requestsOfCallersThatLeftAreNotSent() throws Exception {
+            site = TestSite.start("pause-beside-agent")
+                    .service("p1", 10)
+                    .router("r1")
+                    .awaitReady(1);
+            Outcome before = Launch.await(site.driver("r1").send(printItem("before")), TestSite.CALL_TIMEOUT_MS);
+            assertThat(before.complete(), is(true));
+            site.pause("r1");
+            List<Socket> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                Socket caller = new Socket("127.0.0.1", site.callerPort("r1"));
+                caller.getOutputStream().write(printRequest("left-" + i));
+                callers.add(caller);
+            }
+            for (Socket caller : callers) {
+                caller.close();
+            }
+            Thread.sleep(700);
+            site.resume("r1");
+            Outcome after = Launch.await(site.driver("r1").send(printItem("after")), TestSite.CALL_TIMEOUT_MS);
+            assertThat(after.complete(), is(true));
+            Thread.sleep(1_000);
+            assertThat(site.stats("p1").getLong("executions"), equalTo(2L));
+        }
+
+        private static byte[] printRequest(String key) {
+            return String.join(
+                            "\r\n",
+                            "POST /v1/calls/print-instruction HTTP/1.1",
+                            "Host: r1",
+                            "X-Onyx-Workspace: printers-night",
+                            "X-Onyx-Tier: print-slot",
+                            "Idempotency-Key: " + key,
+                            "Content-Length: 2",
+                            "",
+                            "{}")
+                    .getBytes(StandardCharsets.US_ASCII);
+        }
+    }
+
     @Nested
     class PausedPastItsLease {
 
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/TestSite.java
@@ -179,6 +179,11 @@
         return Driver.roundRobin(vertx, "127.0.0.1", ports, CALL_TIMEOUT_MS);
     }
 
+    /** The port on which a router takes callers' requests. */
+    int callerPort(String router) {
+        return httpPorts.get(router);
+    }
+
     /** Returns the state dump of a router or agent. */
     JsonObject state(String process) {
         Integer port = httpPorts.containsKey(process) ? httpPorts.get(process) : statusPorts.get(process);
