--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ReadBarrier.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ReadBarrier.java
@@ -49,7 +49,6 @@
         waiting.add(action);
         if (!scheduled) {
             scheduled = true;
-            passes = 0;
             loop.execute(this::beginPass);
         }
     }
--- a/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
+++ b/onyxhinge-tools/src/main/java/org/onyxhinge/tools/capacity/DecisionsCommand.java
@@ -55,6 +55,7 @@
                         .include(PeerCodecBenchmark.class.getSimpleName())
                         .include(PlacementBenchmark.class.getSimpleName())
                         .include(QuarantineBenchmark.class.getSimpleName())
+                        .include(ReadBarrierBenchmark.class.getSimpleName())
                         .forks(1)
                         .warmupIterations(2)
                         .warmupTime(TimeValue.seconds(1))
