--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallTimes.java
@@ -31,20 +31,29 @@
     /** A smaller reduction of the caller's deadline is connection set-up time and not an earlier refusal. */
     private static final long MIN_RETRY_ELAPSED_MS = 25;
 
+    /** Computes the deadlines of a request that was read as it arrived. */
+    public static CallTimes of(long readAtMs, long waitedBeforeMs, long targetLatencyMs, long deadlineMs) {
+        return of(readAtMs, 0, waitedBeforeMs, targetLatencyMs, deadlineMs);
+    }
+
     /**
-     * Computes the deadlines of an arriving request.
+     * Computes the deadlines of a request. Its caller's time runs from its arrival, its time in the queue from when it
+     * was read: a router that was late is not full.
      *
+     * @param unreadMs how long it may have lain unread
      * @param waitedBeforeMs time since the caller's first attempt
      * @param targetLatencyMs time within which the first byte is on time
      * @param deadlineMs time left for the response: the caller's deadline or the route's timeout, whichever is
      *     shorter
      */
-    public static CallTimes of(long arrivedAtMs, long waitedBeforeMs, long targetLatencyMs, long deadlineMs) {
+    public static CallTimes of(
+            long readAtMs, long unreadMs, long waitedBeforeMs, long targetLatencyMs, long deadlineMs) {
         boolean isRetry = waitedBeforeMs >= MIN_RETRY_ELAPSED_MS;
-        long responseDeadlineMs = arrivedAtMs + deadlineMs;
-        long firstByteDeadlineMs = arrivedAtMs - (isRetry ? waitedBeforeMs : 0) + targetLatencyMs;
+        long responseDeadlineMs = readAtMs - unreadMs + deadlineMs;
+        long elapsedMs = Math.max(unreadMs, isRetry ? waitedBeforeMs : 0);
+        long firstByteDeadlineMs = readAtMs - elapsedMs + targetLatencyMs;
         long queueDeadlineMs =
-                Math.min(arrivedAtMs + targetLatencyMs + MAX_LATE_WAIT_MS, responseDeadlineMs - MIN_REMAINING_MS);
+                Math.min(readAtMs + targetLatencyMs + MAX_LATE_WAIT_MS, responseDeadlineMs - MIN_REMAINING_MS);
         return new CallTimes(isRetry, firstByteDeadlineMs, queueDeadlineMs, responseDeadlineMs);
     }
 
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/CallTimesTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/CallTimesTest.java
@@ -33,6 +33,37 @@
         }
     }
 
+    @Nested
+    class ReadLate {
+
+        private final CallTimes times = CallTimes.of(3_000, 1_500, 0, 400, 10_000);
+
+        @Test
+        void haveTheTimeThatIsLeft() {
+            assertThat(times.responseDeadlineMs(), is(11_500L));
+            assertThat(times.firstByteDeadlineMs(), is(1_900L));
+        }
+
+        /** Guards against a router that was late, and has room, refusing as if it were full. */
+        @Test
+        void mayBeQueuedAsLongAsOthers() {
+            assertThat(
+                    times.queueDeadlineMs(),
+                    is(CallTimes.of(3_000, 0, 400, 10_000).queueDeadlineMs()));
+        }
+
+        @Test
+        void areNoRetries() {
+            assertThat(times.isRetry(), is(false));
+        }
+
+        /** Guards against a retry whose first attempt came before it lay unread being timed from its reading. */
+        @Test
+        void retriesAreTimedFromTheEarlierOfBoth() {
+            assertThat(CallTimes.of(3_000, 500, 2_000, 400, 8_000).firstByteDeadlineMs(), is(1_400L));
+        }
+    }
+
     @Nested
     class Retries {
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -34,8 +34,8 @@
     /** Rank that the call was queued with; more urgent than its own if it was promoted, -1 if it was not submitted. */
     int queuedRank = -1;
 
-    /** How late the event loop was when the request's head was read, which may have lain unread for as long. */
-    long loopDelayMs;
+    /** How long the request may have lain unread before its head was read, since the event loop was late. */
+    long unreadMs;
 
     /** Age of the configuration's confirmation when the call was checked; -1 if it was not checked. */
     long confirmationAgeMs = -1;
@@ -143,7 +143,7 @@
                         + " deadlineMs=%d promptTokens=%d promptParts=%s maxOutputTokens=%d expectedOutputTokens=%d"
                         + " resumedAfter=%s originAttempt=%s origin=%s target=%s targetVersion=%s targetCalls=%d"
                         + " limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
-                        + " loopDelayMs=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
+                        + " unreadMs=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
                         + " config=%d proofAgeMs=%d scheduledRetryMs=%d moves=\"%s\" troubles=\"%s\"",
                 requestId,
                 fingerprint,
@@ -168,7 +168,7 @@
                 targetLeaving,
                 targetRetryAfterMs,
                 sends,
-                loopDelayMs,
+                unreadMs,
                 sentAfterMs,
                 firstByteMs,
                 longestGapMs,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallPlan.java
@@ -23,7 +23,8 @@
  * @param route its route
  * @param workspace the caller's workspace; empty on keyless routes
  * @param service the service it is sent to
- * @param arrivedAtMs arrival time
+ * @param arrivedAtMs when its head was read
+ * @param unreadMs how long it may have lain unread before that
  * @param times its deadlines
  */
 record CallPlan(
@@ -33,6 +34,7 @@
         Optional<WorkspaceAccess> workspace,
         String service,
         long arrivedAtMs,
+        long unreadMs,
         CallTimes times) {
 
     /** Number of ranks of routes. A workspace's rank takes precedence over a route's rank, which is below this. */
@@ -41,9 +43,10 @@
     /**
      * Creates the plan of an accepted request.
      *
+     * @param unreadMs how long it may have lain unread before its head was read
      * @param waitedBeforeMs how long its caller has waited since its first attempt
      */
-    static CallPlan of(CallCheck.Allowed check, long arrivedAtMs, long waitedBeforeMs) {
+    static CallPlan of(CallCheck.Allowed check, long arrivedAtMs, long unreadMs, long waitedBeforeMs) {
         Route route = check.route();
         long deadlineMs = deadlineMs(check.head(), route);
         return new CallPlan(
@@ -53,19 +56,20 @@
                 check.workspace(),
                 route.pickService(ThreadLocalRandom.current().nextDouble()),
                 arrivedAtMs,
-                CallTimes.of(arrivedAtMs, waitedBeforeMs, route.targetLatencyMs(), deadlineMs));
+                unreadMs,
+                CallTimes.of(arrivedAtMs, unreadMs, waitedBeforeMs, route.targetLatencyMs(), deadlineMs));
     }
 
     /** The same plan with the deadlines of a request whose caller's first attempt arrived earlier. */
     CallPlan firstArrivedAt(long firstArrivalMs) {
         CallTimes updated = CallTimes.of(
-                arrivedAtMs, arrivedAtMs - firstArrivalMs, route.targetLatencyMs(), deadlineMs(head, route));
-        return new CallPlan(head, config, route, workspace, service, arrivedAtMs, updated);
+                arrivedAtMs, unreadMs, arrivedAtMs - firstArrivalMs, route.targetLatencyMs(), deadlineMs(head, route));
+        return new CallPlan(head, config, route, workspace, service, arrivedAtMs, unreadMs, updated);
     }
 
     /** The same plan for another service of the route. */
     CallPlan withService(String other) {
-        return new CallPlan(head, config, route, workspace, other, arrivedAtMs, times);
+        return new CallPlan(head, config, route, workspace, other, arrivedAtMs, unreadMs, times);
     }
 
     /** When the caller's first attempt arrived, as far as known. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -55,8 +55,9 @@
         this.caller = new CallerResponse(request, forwarder.readers(), forwarder::prefersOtherRouter);
         this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
         this.attempts = new CallAttempts(forwarder, this, logEntry);
-        this.intake = new ExchangeIntake(forwarder, this, request, end, logEntry, arrivedAtMs);
-        logEntry.loopDelayMs = forwarder.loopDelay().delayMs(arrivedAtMs);
+        long unreadMs = forwarder.loopDelay().unreadMs(arrivedAtMs);
+        this.intake = new ExchangeIntake(forwarder, this, request, end, logEntry, arrivedAtMs, unreadMs);
+        logEntry.unreadMs = unreadMs;
     }
 
     /** Starts an exchange for a new request. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -20,6 +20,7 @@
     private final ExchangeEnd end;
     private final CallLogEntry logEntry;
     private final long arrivedAtMs;
+    private final long unreadMs;
 
     ExchangeIntake(
             Forwarder forwarder,
@@ -27,13 +28,15 @@
             HttpServerRequest request,
             ExchangeEnd end,
             CallLogEntry logEntry,
-            long arrivedAtMs) {
+            long arrivedAtMs,
+            long unreadMs) {
         this.forwarder = forwarder;
         this.exchange = exchange;
         this.request = request;
         this.end = end;
         this.logEntry = logEntry;
         this.arrivedAtMs = arrivedAtMs;
+        this.unreadMs = unreadMs;
     }
 
     /** Checks the request's head; holds the request if there is no configuration yet. */
@@ -61,7 +64,7 @@
         long waitedBeforeMs = forwarder
                 .deadlines()
                 .waitedBeforeMs(check.route().name(), check.head().deadlineMs(), MonotonicClock.nowMs());
-        CallPlan plan = CallPlan.of(check, arrivedAtMs, waitedBeforeMs);
+        CallPlan plan = CallPlan.of(check, arrivedAtMs, unreadMs, waitedBeforeMs);
         exchange.planned(plan);
         exchange.startDeadline();
         forwarder.startScheduler().offer(exchange, plan);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -146,7 +146,7 @@
         f.context = vertx.getOrCreateContext();
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
         f.reads = ReadBarrier.of(f.context);
-        f.loopDelay = EventLoopDelay.start(vertx, f.context);
+        f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
         f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
         f.targets = new TargetRegistry(
                 f.context,
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/WorkspaceQuotasTest.java
@@ -75,7 +75,7 @@
                 List.of(workspace));
         CallHead head = new CallHead(
                 "c", Optional.of("k1"), 1_000, Optional.empty(), Optional.empty(), 0, 0, 0, PromptParts.none());
-        return CallPlan.of(new CallCheck.Allowed(head, config, route, Optional.of(workspace)), NOW_MS, 0);
+        return CallPlan.of(new CallCheck.Allowed(head, config, route, Optional.of(workspace)), NOW_MS, 0, 0);
     }
 
     /** Number of calls out of 1000 that are allowed. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -5,9 +5,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -24,8 +27,10 @@
 import org.onyxhinge.runtime.Ports;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * A router has no processor time while its callers leave. When it goes on, their requests and the ends of their
@@ -39,6 +44,7 @@
     private static final long PATIENCE_MS = 500;
 
     private static final long PAUSE_MS = 1_500;
+    private static final long DEADLINE_MS = 10_000;
     /** No call may reach a target later than this after its caller has left. */
     private static final long MAX_LATE_MS = 500;
     /** Long enough for every call that the router still sends to arrive. */
@@ -64,15 +70,19 @@
             socket.setSoTimeout((int) TIMEOUT_MS);
         }
 
-        /** Sends a request and does not wait for its response. */
         void send(int bodyBytes) throws IOException {
+            send(bodyBytes, DEADLINE_MS);
+        }
+
+        /** Sends a request and does not wait for its response. */
+        void send(int bodyBytes, long deadlineMs) throws IOException {
             String head = String.join(
                     "\r\n",
                     "POST /print/1 HTTP/1.1",
                     "Host: letters.example",
                     "X-Onyx-Key: k1",
                     "X-Onyx-Request-Id: " + name + "-" + requests++,
-                    "X-Onyx-Deadline-Ms: 10000",
+                    "X-Onyx-Deadline-Ms: " + deadlineMs,
                     "Content-Length: " + bodyBytes,
                     "",
                     "");
@@ -81,15 +91,22 @@
             socket.getOutputStream().write(whole);
         }
 
-        /** Reads a response with the target's body; returns its status. */
+        /** Reads a response; returns its status. */
         int readResponse() throws IOException {
+            String head = readUntil("\r\n\r\n");
+            String length = head.toLowerCase(Locale.ROOT).replaceAll("(?s).*content-length: *(\\d+).*", "$1");
+            socket.getInputStream().readNBytes(Integer.parseInt(length));
+            return Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+        }
+
+        private String readUntil(String end) throws IOException {
             InputStream in = socket.getInputStream();
             StringBuilder text = new StringBuilder();
             int next;
-            while (!text.toString().endsWith("printed") && (next = in.read()) >= 0) {
+            while (!text.toString().endsWith(end) && (next = in.read()) >= 0) {
                 text.append((char) next);
             }
-            return Integer.parseInt(text.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+            return text.toString();
         }
 
         void leave() throws IOException {
@@ -293,6 +310,67 @@
         }
     }
 
+    @Nested
+    class TimeOfCallers {
+
+        private final List<Long> deadlinesMs = new CopyOnWriteArrayList<>();
+
+        private void startRecordingDeadlines() {
+            start(8, 100, r -> {
+                deadlinesMs.add(Long.parseLong(r.getHeader("X-Onyx-Deadline-Ms")));
+                answer(r);
+            });
+        }
+
+        /** Guards against targets that are told more time than is left, since the request lay unread. */
+        @Test
+        void timeUnreadIsTakenOff() throws Exception {
+            startRecordingDeadlines();
+            connectCallers();
+            serveEachOnce();
+            deadlinesMs.clear();
+            pauseRouter(PAUSE_MS);
+            for (Caller caller : callers) {
+                caller.send(4);
+            }
+            for (Caller caller : callers) {
+                assertThat(caller.readResponse(), equalTo(200));
+            }
+            assertThat(Collections.max(deadlinesMs), lessThan(DEADLINE_MS - PAUSE_MS + MAX_LATE_MS));
+        }
+
+        /** Guards against requests that are begun although their callers' time is over. */
+        @Test
+        void requestsWithoutTimeAreRefusedAtOnce() throws Exception {
+            startRecordingDeadlines();
+            connectCallers();
+            serveEachOnce();
+            deadlinesMs.clear();
+            pauseRouter(PAUSE_MS);
+            for (Caller caller : callers) {
+                caller.send(4, PAUSE_MS - MAX_LATE_MS);
+            }
+            for (Caller caller : callers) {
+                assertThat(caller.readResponse(), equalTo(503));
+            }
+            assertThat(deadlinesMs, empty());
+        }
+
+        /** Guards against requests that are taken for old because the router was late before they came. */
+        @Test
+        void requestsAfterThePauseHaveTheirWholeTime() throws Exception {
+            startRecordingDeadlines();
+            connectCallers();
+            serveEachOnce();
+            pauseRouter(PAUSE_MS);
+            callers.getFirst().send(4);
+            assertThat(callers.getFirst().readResponse(), equalTo(200));
+            deadlinesMs.clear();
+            callers.getLast().send(4, PAUSE_MS - MAX_LATE_MS);
+            assertThat(callers.getLast().readResponse(), equalTo(200));
+        }
+    }
+
     @Nested
     class CallersWait {
 
