--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeEnd.java
@@ -61,9 +61,11 @@
         quotaCharged = true;
     }
 
-    /** Runs an action after a time unless the exchange has ended by then. */
+    /** Runs an action after a time unless the exchange has ended by then, also by what lies unread. */
     void timer(long delayMs, Runnable action) {
-        timerId = forwarder.vertx().setTimer(Math.max(1, delayMs), t -> action.run());
+        timerId = forwarder
+                .vertx()
+                .setTimer(Math.max(1, delayMs), t -> forwarder.reads().afterRead(action));
     }
 
     /** Sets whether the retry delay of the refusal is chosen for this caller alone. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -147,7 +147,7 @@
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
         f.reads = ReadBarrier.of(f.context);
         f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
-        f.waiting = new WaitingExchanges(vertx, f.context, f.placement);
+        f.waiting = new WaitingExchanges(vertx, f.context, f.reads, f.placement);
         f.targets = new TargetRegistry(
                 f.context,
                 f.placement,
@@ -174,7 +174,7 @@
                     return server.listen(settings.port(), settings.host());
                 })
                 .map(s -> {
-                    vertx.setPeriodic(SWEEP_INTERVAL_MS, t -> sweep());
+                    vertx.setPeriodic(SWEEP_INTERVAL_MS, t -> reads.afterRead(this::sweep));
                     admission.start(vertx);
                     LoadReport.start(this);
                     return this;
@@ -250,11 +250,13 @@
     /** Holds a call that arrived before the first configuration, for a limited time. */
     void holdUntilConfigured(Exchange exchange) {
         awaitingConfig.add(exchange);
-        vertx.setTimer(CONFIG_WAIT_MS, t -> {
-            if (awaitingConfig.remove(exchange)) {
-                exchange.refuseWithoutConfig();
-            }
-        });
+        vertx.setTimer(
+                CONFIG_WAIT_MS,
+                t -> reads.afterRead(() -> {
+                    if (awaitingConfig.remove(exchange)) {
+                        exchange.refuseWithoutConfig();
+                    }
+                }));
     }
 
     /** The registered targets. */
@@ -300,8 +302,8 @@
     public Future<Void> drain() {
         Promise<Void> done = Promise.promise();
         shutdown.markRequested();
-        context.runOnContext(v ->
-                shutdown.run(vertx, callers, calls::exchangeCount, calls::abort).onComplete(done));
+        context.runOnContext(v -> shutdown.run(vertx, reads, callers, calls::exchangeCount, calls::abort)
+                .onComplete(done));
         return done.future();
     }
 
@@ -474,7 +476,10 @@
         return config.current().filter(c -> peerDelegate.hasConfig());
     }
 
-    /** What a call passes before it is sent: its caller may have left, and that may be unread. */
+    /**
+     * What a decision passes that rests on what has not been received: a call is sent unless its caller has left, and
+     * a timer gives something up unless an answer has come. Either may lie unread when the event loop was late.
+     */
     ReadBarrier reads() {
         return reads;
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/GracefulShutdown.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/GracefulShutdown.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.jboss.logging.Logger;
+import org.onyxhinge.runtime.ReadBarrier;
 import org.onyxhinge.wire.MonotonicClock;
 
 /**
@@ -49,27 +50,38 @@
     /**
      * Runs the shutdown; must be called on the context that owns the calls.
      *
+     * @param reads the barrier of that context
      * @param inProgress number of calls in progress
      * @param abortRemaining ends the calls for which no time is left
      * @return completes when no calls or connections remain, or the grace period is over
      */
-    Future<Void> run(Vertx vertx, CallerConnections callers, IntSupplier inProgress, Runnable abortRemaining) {
+    Future<Void> run(
+            Vertx vertx,
+            ReadBarrier reads,
+            CallerConnections callers,
+            IntSupplier inProgress,
+            Runnable abortRemaining) {
         Promise<Void> done = Promise.promise();
-        vertx.setPeriodic(CHECK_INTERVAL_MS, t -> {
-            if (refusesCalls()) {
-                callers.closeIdle();
-            }
-            boolean idle = inProgress.getAsInt() == 0 && callers.openCount() == 0;
-            if (refusesCalls() && idle || ageMs() > graceMs - EXIT_MARGIN_MS) {
-                vertx.cancelTimer(t);
-                LOG.infof("draining ended tookMs=%d cutOff=%d", ageMs(), inProgress.getAsInt());
-                abortRemaining.run();
-                done.complete();
-            }
-        });
+        vertx.setPeriodic(
+                CHECK_INTERVAL_MS,
+                t -> reads.afterRead(() -> {
+                    if (hasEnded(callers, inProgress) && done.tryComplete()) {
+                        vertx.cancelTimer(t);
+                        LOG.infof("draining ended tookMs=%d cutOff=%d", ageMs(), inProgress.getAsInt());
+                        abortRemaining.run();
+                    }
+                }));
         return done.future();
     }
 
+    private boolean hasEnded(CallerConnections callers, IntSupplier inProgress) {
+        if (refusesCalls()) {
+            callers.closeIdle();
+        }
+        boolean idle = inProgress.getAsInt() == 0 && callers.openCount() == 0;
+        return refusesCalls() && idle || ageMs() > graceMs - EXIT_MARGIN_MS;
+    }
+
     /** Marks the shutdown as requested. */
     void markRequested() {
         startedAtMs = MonotonicClock.nowMs();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -21,6 +21,7 @@
 import org.onyxhinge.core.place.RendezvousOrder;
 import org.onyxhinge.core.place.SlotRequest;
 import org.onyxhinge.runtime.HostPort;
+import org.onyxhinge.runtime.ReadBarrier;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerConnection;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -53,6 +54,7 @@
     private final ForwardingSettings settings;
     private final long startId = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Delegate delegate;
+    private final ReadBarrier reads;
     private final NetClient client;
     private final PeerTraffic traffic = new PeerTraffic();
     private final Map<String, PeerLink> links = new HashMap<>();
@@ -133,13 +135,14 @@
 
     private RouterPeers(Vertx vertx, ForwardingSettings settings, Delegate delegate) {
         this.vertx = vertx;
+        this.reads = ReadBarrier.of(vertx.getOrCreateContext());
         this.settings = settings;
         this.delegate = delegate;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
     }
 
-    /** Starts listening for other routers. */
+    /** Starts listening for other routers. Called on the context that the exchange belongs to. */
     static Future<RouterPeers> start(Vertx vertx, ForwardingSettings settings, Delegate delegate) {
         RouterPeers peers = new RouterPeers(vertx, settings, delegate);
         return vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
@@ -290,7 +293,7 @@
         nextSendAtMs = MonotonicClock.nowMs() + delayMs;
         sendTimerId = vertx.setTimer(delayMs, t -> {
             scheduleSend(PeerUpdateSchedule.intervalMs(delegate.nearRouters(), delegate.callsWait()));
-            sendUpdates();
+            reads.afterRead(this::sendUpdates);
         });
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
@@ -8,6 +8,7 @@
 import org.onyxhinge.core.place.Call;
 import org.onyxhinge.core.place.Placement;
 import org.onyxhinge.core.place.Verdict;
+import org.onyxhinge.runtime.ReadBarrier;
 import org.onyxhinge.wire.Loop;
 import org.onyxhinge.wire.MonotonicClock;
 
@@ -23,15 +24,17 @@
 
     private final Vertx vertx;
     private final Context context;
+    private final ReadBarrier reads;
     private final Placement placement;
     private final Map<Call, Exchange> waiting = new IdentityHashMap<>();
     private final Loop loop = Loop.named("waiting calls");
     private boolean pumpScheduled;
     private boolean timerRunning;
 
-    WaitingExchanges(Vertx vertx, Context context, Placement placement) {
+    WaitingExchanges(Vertx vertx, Context context, ReadBarrier reads, Placement placement) {
         this.vertx = vertx;
         this.context = context;
+        this.reads = reads;
         this.placement = placement;
     }
 
@@ -41,7 +44,7 @@
         pumpSoon();
         if (!timerRunning) {
             timerRunning = true;
-            vertx.setTimer(PUMP_MS, t -> onTimer());
+            vertx.setTimer(PUMP_MS, t -> reads.afterRead(this::onTimer));
         }
     }
 
@@ -53,7 +56,7 @@
         loop.turn(this::pump);
         timerRunning = !waiting.isEmpty();
         if (timerRunning) {
-            vertx.setTimer(PUMP_MS, t -> onTimer());
+            vertx.setTimer(PUMP_MS, t -> reads.afterRead(this::onTimer));
         }
     }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -18,6 +18,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -188,15 +189,45 @@
         CountDownLatch begun = new CountDownLatch(1);
         routerVertx.runOnContext(v -> {
             begun.countDown();
-            try {
-                Thread.sleep(pauseMs);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            sleep(pauseMs);
         });
         begun.await();
     }
 
+    private static void awaitSize(Map<String, HttpServerRequest> held, int size) throws InterruptedException {
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (held.size() < size && System.nanoTime() < untilNs) {
+            Thread.sleep(10);
+        }
+        assertThat(held.size(), equalTo(size));
+    }
+
+    /** Keeps the router's event loop from running for a time, after it has begun to read its connections. */
+    private void pauseRouterWhileItReads() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        NetServer server = Launch.await(
+                routerVertx
+                        .createNetServer()
+                        .connectHandler(s -> s.handler(b -> {
+                            begun.countDown();
+                            sleep(PAUSE_MS);
+                        }))
+                        .listen(0, "127.0.0.1"),
+                TIMEOUT_MS);
+        try (Socket socket = new Socket("127.0.0.1", server.actualPort())) {
+            socket.getOutputStream().write(1);
+            begun.await();
+        }
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Number of calls that reached a target although their callers had left long before. */
     private long reachedLate() throws InterruptedException {
         Thread.sleep(PAUSE_MS - PATIENCE_MS + SETTLE_MS);
@@ -300,14 +331,6 @@
             leaveAll();
             assertThat(reachedLate(), is(0L));
         }
-
-        private void awaitSize(Map<String, HttpServerRequest> held, int size) throws InterruptedException {
-            long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-            while (held.size() < size && System.nanoTime() < untilNs) {
-                Thread.sleep(10);
-            }
-            assertThat(held.size(), equalTo(size));
-        }
     }
 
     @Nested
@@ -371,6 +394,60 @@
         }
     }
 
+    /**
+     * What targets and callers have sent lies unread when the timers of a router fire that has stood still while it
+     * read its connections.
+     */
+    @Nested
+    class TimersAfterThePause {
+
+        private final Map<String, HttpServerRequest> held = new ConcurrentHashMap<>();
+
+        private void hold(HttpServerRequest request) {
+            held.put(request.getHeader("X-Onyx-Request-Id"), request);
+        }
+
+        private void holdCalls(long deadlineMs) throws Exception {
+            connectCallers();
+            for (Caller caller : callers) {
+                caller.send(4, deadlineMs);
+            }
+            awaitSize(held, CALLERS);
+            reachedAtNs.clear();
+        }
+
+        /** Guards against answers that are dropped because the deadline's timer fires before they are read. */
+        @Test
+        void answersThatLieUnreadAreDelivered() throws Exception {
+            start(8, 100, this::hold);
+            holdCalls(PAUSE_MS / 2);
+            pauseRouterWhileItReads();
+            List.copyOf(held.values()).forEach(LateRouterTest::answer);
+            for (Caller caller : callers) {
+                assertThat(caller.readResponse(), equalTo(200));
+            }
+        }
+
+        /** Guards against targets that are taken for silent because what they have sent lies unread. */
+        @Test
+        void targetsThatHaveSentAreNotSilent() throws Exception {
+            start(8, 100, this::hold);
+            holdCalls(DEADLINE_MS);
+            Thread.sleep(500);
+            pauseRouterWhileItReads();
+            List.copyOf(held.values())
+                    .forEach(r -> r.response()
+                            .putHeader("Content-Length", "" + "printed".length())
+                            .write("print"));
+            Thread.sleep(PAUSE_MS + SETTLE_MS / 2);
+            List.copyOf(held.values()).forEach(r -> r.response().end("ed"));
+            for (Caller caller : callers) {
+                assertThat(caller.readResponse(), equalTo(200));
+            }
+            assertThat("calls sent to a second target", reachedAtNs.keySet(), empty());
+        }
+    }
+
     @Nested
     class CallersWait {
 
