--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -1,6 +1,5 @@
 package org.onyxhinge.router.forward;
 
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -310,67 +309,12 @@
     /** The current state, for the state dump. */
     public Future<JsonObject> dump() {
         Promise<JsonObject> out = Promise.promise();
-        context.runOnContext(v -> out.complete(new JsonObject()
-                .put("router", settings.routerId())
-                .put("configVersion", config.version())
-                .put("proofAgeMs", config.confirmationAgeMs())
-                .put("draining", shutdown.started())
-                .put("exchanges", calls.exchangeCount())
-                .put("attempts", calls.attemptCount())
-                .put("notBegun", startScheduler.queuedCount())
-                .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
-                .put("workspaceUseMs", workspaceUse())
-                .put("shortCalls", shortCalls())
-                .put("targets", placement.targets().size())
-                .put("targetConnections", connections.openCount())
-                .put("targetConnectionsOpened", connections.opened())
-                .put("usageRecordAgeMs", quotas.recordAgeMs())
-                .put("quarantined", new JsonObject(crashQuarantine.bySuspect()))
-                .put("targetLimits", placement.limits().size())
-                .put("refusedRequests", retryRecognition.size())
-                .put("streamOrigins", streamOrigins.size())
-                .put("repeatRecords", repeats.map(RepeatLimits::size).orElse(0))
-                .put("readers", readers.dump())
-                .put("bodyBytes", bodyMemory.reservedBytes())
-                .put("promisedRetries", promisedRetries())
-                .put("rollouts", rollouts.dump(MonotonicClock.nowMs()))
-                .put("routersKnown", peers.expectedRouters())
-                .put("routersHeardPart", peers.heardPart())));
+        context.runOnContext(v -> out.complete(StateDump.of(this)));
         return out.future();
     }
 
-    private JsonObject workspaceUse() {
-        JsonObject out = new JsonObject();
-        placement.workspaceUse(MonotonicClock.nowMs()).forEach((service, uses) -> {
-            JsonObject byWorkspace = new JsonObject();
-            uses.forEach(u -> byWorkspace.put(u.workspace() + " rank " + u.rank(), u.usedMs()));
-            out.put(service, byWorkspace);
-        });
-        return out;
-    }
-
-    /** Promised retries that are still to come, by service, and what other routers have told callers. */
-    private JsonObject promisedRetries() {
-        long nowMs = MonotonicClock.nowMs();
-        JsonObject out = new JsonObject();
-        placement.retryLedger().ifPresent(l -> {
-            out.put("own", new JsonObject(new HashMap<>(l.ownPromises(nowMs))));
-            out.put("peers", l.peerPromises(nowMs));
-        });
-        return out;
-    }
-
-    private JsonObject shortCalls() {
-        JsonObject out = new JsonObject();
-        placement
-                .shortCallStates(MonotonicClock.nowMs())
-                .forEach((service, s) -> out.put(
-                        service,
-                        new JsonObject()
-                                .put("promotedCalls", s.promotedCalls())
-                                .put("heldBackCalls", s.heldBackCalls())
-                                .put("promotedSlotPercent", s.promotedSlotPercent())));
-        return out;
+    ActiveConfig config() {
+        return config;
     }
 
     private void peerUsageChanged() {
