--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ReadBarrier.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ReadBarrier.java
@@ -15,12 +15,12 @@
  */
 public final class ReadBarrier {
 
-    /** After a pass over the connections that takes longer, the first ones are read once more. */
+    /**
+     * What was read first in a longer pass is old at its end: the connections are read once more. Only once, since a
+     * loop that is always busy has no shorter passes.
+     */
     private static final long MAX_PASS_NS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    /** Under constant load every pass may take longer than that; then actions go on anyway. */
-    private static final int MAX_PASSES = 3;
-
     /** Actions that take longer than this together wait for another pass. */
     private static final long MAX_RUN_NS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -32,7 +32,7 @@
     private int admitted;
 
     private long passBeganNs;
-    private int passes;
+    private boolean repeated;
 
     private ReadBarrier(ContextInternal context) {
         this.context = context;
@@ -64,13 +64,12 @@
     }
 
     private void endPass() {
-        passes++;
-        if (System.nanoTime() - passBeganNs > MAX_PASS_NS && passes < MAX_PASSES) {
+        repeated = !repeated && System.nanoTime() - passBeganNs > MAX_PASS_NS;
+        if (repeated) {
             beginPass();
-            return;
+        } else {
+            context.emit(v -> runAdmitted());
         }
-        passes = 0;
-        context.emit(v -> runAdmitted());
     }
 
     private void runAdmitted() {
