--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
@@ -22,6 +22,9 @@
     /** Interval for refusing calls that have waited too long; free slots trigger an earlier check. */
     private static final long PUMP_MS = 10;
 
+    /** A slot that has fallen free may lie unread when the timer is later than this. */
+    private static final long LATE_MS = 50;
+
     private final Vertx vertx;
     private final Context context;
     private final ReadBarrier reads;
@@ -43,8 +46,7 @@
         waiting.put(call, exchange);
         pumpSoon();
         if (!timerRunning) {
-            timerRunning = true;
-            vertx.setTimer(PUMP_MS, t -> reads.afterRead(this::onTimer));
+            startTimer();
         }
     }
 
@@ -52,11 +54,24 @@
         waiting.remove(call);
     }
 
+    private void startTimer() {
+        timerRunning = true;
+        long dueAtMs = MonotonicClock.nowMs() + PUMP_MS;
+        vertx.setTimer(PUMP_MS, t -> {
+            if (MonotonicClock.nowMs() - dueAtMs > LATE_MS) {
+                reads.afterRead(this::onTimer);
+            } else {
+                onTimer();
+            }
+        });
+    }
+
     private void onTimer() {
         loop.turn(this::pump);
-        timerRunning = !waiting.isEmpty();
-        if (timerRunning) {
-            vertx.setTimer(PUMP_MS, t -> reads.afterRead(this::onTimer));
+        if (waiting.isEmpty()) {
+            timerRunning = false;
+        } else {
+            startTimer();
         }
     }
 
