--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -333,6 +333,27 @@
         }
     }
 
+    @Nested
+    class RouterInTime {
+
+        /** Guards against requests behind a long call on their connection, whose end is not read meanwhile. */
+        @Test
+        void requestsBehindALongCallAreNotSent() throws Exception {
+            Map<String, HttpServerRequest> held = new ConcurrentHashMap<>();
+            start(8, 100, r -> held.put(r.getHeader("X-Onyx-Request-Id"), r));
+            connectCallers();
+            for (Caller caller : callers) {
+                caller.send(4);
+                caller.send(4);
+            }
+            awaitSize(held, CALLERS);
+            leaveAll();
+            Thread.sleep(PAUSE_MS - PATIENCE_MS);
+            List.copyOf(held.values()).forEach(LateRouterTest::answer);
+            assertThat(reachedLate(), is(0L));
+        }
+    }
+
     @Nested
     class TimeOfCallers {
 
@@ -403,12 +424,20 @@
 
         private final Map<String, HttpServerRequest> held = new ConcurrentHashMap<>();
 
+        private volatile boolean holding;
+
         private void hold(HttpServerRequest request) {
-            held.put(request.getHeader("X-Onyx-Request-Id"), request);
+            if (holding) {
+                held.put(request.getHeader("X-Onyx-Request-Id"), request);
+            } else {
+                answer(request);
+            }
         }
 
         private void holdCalls(long deadlineMs) throws Exception {
             connectCallers();
+            serveEachOnce();
+            holding = true;
             for (Caller caller : callers) {
                 caller.send(4, deadlineMs);
             }
@@ -420,7 +449,7 @@
         @Test
         void answersThatLieUnreadAreDelivered() throws Exception {
             start(8, 100, this::hold);
-            holdCalls(PAUSE_MS / 2);
+            holdCalls(PAUSE_MS);
             pauseRouterWhileItReads();
             List.copyOf(held.values()).forEach(LateRouterTest::answer);
             for (Caller caller : callers) {
