--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -204,9 +204,9 @@
 
     private void request(HttpServerRequest request) {
         metrics.event(LoadReport.REQUESTS);
-        callers.requestStarted(request.connection());
+        boolean followsAnother = callers.requestStarted(request.connection());
         long startNs = System.nanoTime();
-        Exchange.begin(this, request);
+        Exchange.begin(this, request, followsAnother);
         requestCost.took(System.nanoTime() - startNs);
     }
 
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -337,14 +337,15 @@
     class RouterInTime {
 
         /** Guards against requests behind a long call on their connection, whose end is not read meanwhile. */
-        @Test
-        void requestsBehindALongCallAreNotSent() throws Exception {
+        @ParameterizedTest
+        @ValueSource(ints = {4, 64_000, 1_000_000})
+        void requestsBehindALongCallAreNotSent(int bodyBytes) throws Exception {
             Map<String, HttpServerRequest> held = new ConcurrentHashMap<>();
             start(8, 100, r -> held.put(r.getHeader("X-Onyx-Request-Id"), r));
             connectCallers();
             for (Caller caller : callers) {
                 caller.send(4);
-                caller.send(4);
+                caller.send(bodyBytes);
             }
             awaitSize(held, CALLERS);
             leaveAll();
