--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -90,11 +90,7 @@
 
     /** Sends the call on a connection, unless its caller turns out to have left. */
     private void connected(TargetConnection c) {
-        if (owner.callerEndMayBeUnread()) {
-            forwarder.reads().afterRead(() -> sendOn(c));
-        } else {
-            sendOn(c);
-        }
+        forwarder.reads().afterRead(() -> sendOn(c));
     }
 
     private void sendOn(TargetConnection c) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AttemptOwner.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AttemptOwner.java
@@ -8,9 +8,6 @@
 /** Supplies the request of an attempt and receives its events. */
 interface AttemptOwner {
 
-    /** Whether the end of the caller's connection may have lain unread for long. */
-    boolean callerEndMayBeUnread();
-
     /** Fills in the request for the target; false if the call must no longer be sent. */
     boolean prepare(RequestOptions options, Attempt attempt);
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallerConnections.java
@@ -21,9 +21,6 @@
     /** A caller that has sent nothing on its new connection for so long has opened it in advance. */
     private static final long FIRST_REQUEST_MS = 1_000;
 
-    /** A request that starts so soon after the end of the one before it may have been sent before that. */
-    private static final long FOLLOWING_REQUEST_MS = 5;
-
     /** At most one line is logged in this time about connections that were closed unread. */
     private static final long LOG_INTERVAL_MS = 1_000;
 
@@ -84,20 +81,13 @@
         }
     }
 
-    /**
-     * Records that a request has started on a connection; true if it may have been sent before the one before it was
-     * answered, in which case the connection was not read in between.
-     */
-    boolean requestStarted(HttpConnection c) {
+    /** Records that a request has started on a connection. */
+    void requestStarted(HttpConnection c) {
         ConnectionState state = open.get(c);
-        if (state == null) {
-            return true;
+        if (state != null) {
+            state.requests++;
+            unread.remove(state);
         }
-        boolean first = unread.remove(state);
-        boolean followsAnother =
-                !first && (state.requests > 0 || MonotonicClock.nowMs() - state.idleSinceMs < FOLLOWING_REQUEST_MS);
-        state.requests++;
-        return followsAnother;
     }
 
     /** Records that a request on a connection has received its final response. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
@@ -10,12 +10,6 @@
 
     private static final long INTERVAL_MS = 50;
 
-    /** What has lain unread for less does no harm. */
-    static final long LATE_MS = INTERVAL_MS;
-
-    /** After a pause, connections that wait to be accepted are read within this time. */
-    private static final long LATE_MEMORY_MS = 1_000;
-
     /** Passes over the connections until a request is read that came with its connection: accept, then read. */
     private static final int PASSES_TO_CATCH_UP = 2;
 
@@ -25,7 +19,6 @@
     private long lastDelayMs;
     private long maxDelayMs;
 
-    private long lateUntilMs;
     /** Delay of what is still to be read since the loop was late; 0 once it has caught up. */
     private long unreadMs;
 
@@ -46,8 +39,7 @@
         vertx.setTimer(INTERVAL_MS, t -> {
             lastDelayMs = Math.max(0, MonotonicClock.nowMs() - dueAtMs);
             maxDelayMs = Math.max(maxDelayMs, lastDelayMs);
-            if (lastDelayMs >= LATE_MS) {
-                lateUntilMs = MonotonicClock.nowMs() + LATE_MEMORY_MS;
+            if (lastDelayMs >= INTERVAL_MS) {
                 unreadMs = lastDelayMs;
                 catchUp(lastDelayMs, PASSES_TO_CATCH_UP);
             }
@@ -63,11 +55,6 @@
         }
     }
 
-    /** Whether the loop was late a short time ago, or is now. Called on the event loop. */
-    boolean wasLate(long nowMs) {
-        return nowMs < lateUntilMs || nowMs - dueAtMs >= LATE_MS;
-    }
-
     /** How long what is read now may have lain unread, as far as known. Called on the event loop. */
     long unreadMs(long nowMs) {
         return Math.max(unreadMs, nowMs - dueAtMs);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -36,9 +36,6 @@
     private final ExchangeEnd end;
     private final ExchangeIntake intake;
     private final BodyMemory.Share memory;
-    /** Whether the request was behind another one on its connection. */
-    private final boolean followsAnother;
-
     private CallPlan plan;
     private Buffer body = Buffer.buffer();
     private Suspects suspects = Suspects.NONE;
@@ -51,10 +48,9 @@
 
     private final StreamProgress stream = new StreamProgress();
 
-    private Exchange(Forwarder forwarder, HttpServerRequest request, boolean followsAnother) {
+    private Exchange(Forwarder forwarder, HttpServerRequest request) {
         this.forwarder = forwarder;
         this.request = request;
-        this.followsAnother = followsAnother;
         this.memory = forwarder.bodyMemory().share();
         this.caller = new CallerResponse(request, forwarder.readers(), forwarder::prefersOtherRouter);
         this.end = new ExchangeEnd(forwarder, this, request, caller, history, logEntry, arrivedAtMs);
@@ -64,13 +60,9 @@
         logEntry.unreadMs = unreadMs;
     }
 
-    /**
-     * Starts an exchange for a new request.
-     *
-     * @param followsAnother whether the request was behind another one on its connection
-     */
-    static void begin(Forwarder forwarder, HttpServerRequest request, boolean followsAnother) {
-        Exchange x = new Exchange(forwarder, request, followsAnother);
+    /** Starts an exchange for a new request. */
+    static void begin(Forwarder forwarder, HttpServerRequest request) {
+        Exchange x = new Exchange(forwarder, request);
         forwarder.calls().add(x);
         request.response().exceptionHandler(e -> x.callerDisconnected());
         request.response().closeHandler(v -> x.callerDisconnected());
@@ -226,16 +218,6 @@
         refuseQuarantined();
     }
 
-    /**
-     * A loop that is on time reads the end of a connection soon after it comes, unless the connection is paused: while
-     * the request waits to be begun, or behind another one.
-     */
-    @Override
-    public boolean callerEndMayBeUnread() {
-        long nowMs = MonotonicClock.nowMs();
-        return followsAnother || forwarder.loopDelay().wasLate(nowMs) || nowMs - arrivedAtMs >= EventLoopDelay.LATE_MS;
-    }
-
     @Override
     public boolean prepare(RequestOptions options, Attempt a) {
         if (end.finished() || plan.remainingMs() <= 0) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -204,9 +204,9 @@
 
     private void request(HttpServerRequest request) {
         metrics.event(LoadReport.REQUESTS);
-        boolean followsAnother = callers.requestStarted(request.connection());
+        callers.requestStarted(request.connection());
         long startNs = System.nanoTime();
-        Exchange.begin(this, request, followsAnother);
+        Exchange.begin(this, request);
         requestCost.took(System.nanoTime() - startNs);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WaitingExchanges.java
@@ -22,6 +22,9 @@
     /** Interval for refusing calls that have waited too long; free slots trigger an earlier check. */
     private static final long PUMP_MS = 10;
 
+    /** A slot that has fallen free may lie unread when the timer is later than this. */
+    private static final long LATE_MS = 50;
+
     private final Vertx vertx;
     private final Context context;
     private final ReadBarrier reads;
@@ -55,7 +58,7 @@
         timerRunning = true;
         long dueAtMs = MonotonicClock.nowMs() + PUMP_MS;
         vertx.setTimer(PUMP_MS, t -> {
-            if (MonotonicClock.nowMs() - dueAtMs >= EventLoopDelay.LATE_MS) {
+            if (MonotonicClock.nowMs() - dueAtMs > LATE_MS) {
                 reads.afterRead(this::onTimer);
             } else {
                 onTimer();
