--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/EndlessBytesTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/EndlessBytesTest.java
@@ -7,9 +7,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -92,7 +91,7 @@
     /** Number of connections on which bytes are being sent. */
     private final AtomicInteger flooding = new AtomicInteger();
 
-    private final List<Long> badCallsMs = Collections.synchronizedList(new ArrayList<>());
+    private final List<Long> badCallsMs = new CopyOnWriteArrayList<>();
     private volatile boolean playing = true;
 
     private static ServerSocket listener() {
