--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -41,6 +41,9 @@
     /** How long the request may have lain unread before its head was read, since the event loop was late. */
     long unreadMs;
 
+    /** Version of the configuration that the call was checked against; -1 if it was not checked. */
+    long configVersion = -1;
+
     /** Age of the configuration's confirmation when the call was checked; -1 if it was not checked. */
     long confirmationAgeMs = -1;
 
@@ -212,7 +215,7 @@
                 firstByteMs,
                 longestGapMs,
                 tookMs,
-                plan == null ? -1 : plan.config().version(),
+                configVersion,
                 confirmationAgeMs,
                 scheduledRetryMs,
                 moves,
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -50,6 +50,7 @@
             forwarder.holdUntilConfigured(exchange);
             return;
         }
+        logEntry.configVersion = config.get().config().version();
         logEntry.confirmationAgeMs = forwarder.freshness().ageMs(config.get().confirmedAtMs());
         CallCheck result = CallCheck.of(request, forwarder.protocol(), config.get(), forwarder.freshness());
         logEntry.requestId = result.head() == null ? "" : result.head().requestId();
