A store's response that keeps arriving is read to its end

What callers saw: 404 on routes that had been added, for as long as 20 s, behind a store that sends 1 MB/s a connection and a burst of versions. Cause: a poll was given up 1,700 ms after it was sent, also while its response came; the next one asked from the same revision and had to be answered with more.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/BoundedBody.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/BoundedBody.java
@@ -30,11 +30,21 @@
      * breaks. Must be called in the event of the response's head.
      */
     public static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
+        return read(response, maxBytes, () -> {});
+    }
+
+    /**
+     * Reads a body like {@link #read(HttpClientResponse, int)}.
+     *
+     * @param progress runs whenever a part of the body has arrived
+     */
+    public static Future<Buffer> read(HttpClientResponse response, int maxBytes, Runnable progress) {
         Promise<Buffer> read = Promise.promise();
         Buffer body = Buffer.buffer();
         response.exceptionHandler(read::tryFail);
         response.endHandler(v -> read.tryComplete(body));
         response.handler(part -> {
+            progress.run();
             if (body.length() + part.length() <= maxBytes) {
                 body.appendBuffer(part);
             } else if (read.tryFail(new TooLongException(maxBytes))) {
