--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.vertx.core.Future;
@@ -78,11 +79,41 @@
         this.loop = Loop.named("kv mirror of \"" + prefix + "\"");
     }
 
+    /** Creates a mirror that has not been started. */
+    public static KvMirror create(Vertx vertx, KvStore kv, String prefix, Listener listener) {
+        return new KvMirror(vertx, kv, prefix, listener);
+    }
+
     /** Starts mirroring; the future completes with the revision of the first successful read. */
+    public Future<Long> start() {
+        load();
+        return firstLoad.future();
+    }
+
+    /** Creates and starts a mirror, as {@link #start()} does. */
     public static Future<Long> start(Vertx vertx, KvStore kv, String prefix, Listener listener) {
-        KvMirror mirror = new KvMirror(vertx, kv, prefix, listener);
-        mirror.load();
-        return mirror.firstLoad.future();
+        return create(vertx, kv, prefix, listener).start();
+    }
+
+    /**
+     * Takes the reply to a read of one key, which may be ahead of the watch; a newer entry is reported, without its
+     * revision being reached.
+     *
+     * @return whether the mirror's entry is now the one in the reply. It is not if there is none, if the service was
+     *     restored, or if the mirror knows of a later change
+     */
+    public boolean take(String key, KvMessage.Reply reply) {
+        Optional<KvEntry> read =
+                reply.entries().stream().filter(e -> e.key().equals(key)).findFirst();
+        if (read.isEmpty()
+                || !firstLoad.future().isComplete()
+                || KvRevision.epoch(reply.revision()) != epoch
+                || deleted.containsKey(key)) {
+            return false;
+        }
+        long knownRevision = revisions.getOrDefault(key, Long.MIN_VALUE);
+        return knownRevision == read.get().modRevision()
+                || knownRevision < read.get().modRevision() && put(read.get());
     }
 
     private void load() {
@@ -158,7 +189,7 @@
     }
 
     private void applyEvent(KvMessage.Event event) {
-        boolean taken = event.deleted() ? delete(event.entry().key()) : put(event.entry());
+        boolean taken = event.deleted() ? delete(event) : put(event.entry());
         if (!taken || !loop.turn(() -> listener.revisionReached(event.revision()))) {
             throw new IllegalStateException("change not taken: " + event.entry().key());
         }
@@ -178,6 +209,12 @@
         return true;
     }
 
+    /** A deletion from before the known entry was written tells nothing; the entry was read ahead of the watch. */
+    private boolean delete(KvMessage.Event event) {
+        String key = event.entry().key();
+        return revisions.getOrDefault(key, Long.MIN_VALUE) > event.revision() || delete(key);
+    }
+
     private boolean delete(String key) {
         boolean unreported = revisions.containsKey(key) && !deleted.containsKey(key);
         if (unreported && !loop.turn(() -> listener.deleted(key))) {
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -76,6 +76,79 @@
         vertx.close();
     }
 
+    /** Guards against a watch that is behind a read of one key and takes the mirror back. */
+    @Nested
+    class ReadAheadOfTheWatch {
+
+        private final List<String> ahead = new CopyOnWriteArrayList<>();
+        private final KvMirror mirror = KvMirror.create(vertx, store, "", new KvMirror.Listener() {
+
+            @Override
+            public void put(KvEntry entry) {
+                ahead.add(entry.key() + "=" + entry.text());
+            }
+
+            @Override
+            public void deleted(String key) {
+                ahead.add(key + " deleted");
+            }
+
+            @Override
+            public void revisionReached(long revision) {
+                // Not looked at here.
+            }
+        });
+
+        @BeforeEach
+        void start() {
+            mirror.start();
+            ahead.clear();
+        }
+
+        private KvMessage.Reply reply(String key) {
+            return store.range(key).result();
+        }
+
+        @Test
+        void reportsANewEntryOnce() {
+            store.write("kept", "2");
+            assertThat(mirror.take("kept", reply("kept")), is(true));
+            assertThat(mirror.take("kept", reply("kept")), is(true));
+            store.deliver();
+            assertThat(ahead, contains("kept=2"));
+        }
+
+        @Test
+        void keepsANewerEntryWhenOlderChangesFollow() {
+            store.write("kept", "2");
+            store.remove("kept");
+            store.write("kept", "3");
+            assertThat(mirror.take("kept", reply("kept")), is(true));
+            store.deliver();
+            assertThat(ahead, contains("kept=3"));
+        }
+
+        @Test
+        void isNotTakenIfTheMirrorIsNewer() {
+            KvMessage.Reply before = reply("kept");
+            store.write("kept", "2");
+            store.deliver();
+            assertThat(mirror.take("kept", before), is(false));
+        }
+
+        @Test
+        void isNotTakenForAMissingKey() {
+            assertThat(mirror.take("none", reply("none")), is(false));
+        }
+
+        @Test
+        void isNotTakenAfterARestore() {
+            KvMessage.Reply r = reply("kept");
+            long restored = KvRevision.of(KvRevision.epoch(r.revision()) + 1, 9);
+            assertThat(mirror.take("kept", new KvMessage.Reply(0, KvStatus.OK, restored, r.entries(), 0)), is(false));
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
