A request is decided by a configuration as new as one has to be in force

What callers saw: 404 on routes that had been added over 2 s before, and runs at the service that a route had been taken from. Cause: only calls with keys were checked for the age of what decides them, and only after 3.5 s; a route was matched, or not, by whatever version was there. The class: a verdict without proof.

A request that is checked while the last confirmation is older than configApplyMs asks for one and waits, at most 1 s, for the shared read. If the store can not be asked, a known route is served on, as before, and what would be refused for good (404, 401, 431) is refused as not run, with Retry-After. A confirmation at most that old also excludes that a request is checked before a version comes in force and sent after it: it was sent to the router before it was checked. Calls with keys keep their bound beside this.

Forwarder's calls without a configuration moved to CallsAwaitingConfig.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ActiveConfig.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ActiveConfig.java
@@ -45,13 +45,16 @@
     }
 
     /**
-     * Records that a store read sent at {@code askedAtMs} confirmed the configuration; no effect before the first one,
-     * or shortly after the store was restored.
+     * Records that a store read sent at {@code askedAtMs} confirmed the configuration.
+     *
+     * @return false, without effect, before the first configuration and shortly after the store was restored
      */
-    synchronized void confirmed(long askedAtMs) {
-        if (current != null && askedAtMs >= confirmableFromMs) {
-            current = current.confirmed(askedAtMs);
+    synchronized boolean confirmed(long askedAtMs) {
+        if (current == null || askedAtMs < confirmableFromMs) {
+            return false;
         }
+        current = current.confirmed(askedAtMs);
+        return true;
     }
 
     /** The configuration with its confirmation time; empty before the first one. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallCheck.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallCheck.java
@@ -39,7 +39,13 @@
      * @param outcome reason for the log
      * @param message reason for the caller
      */
-    record Rejected(CallHead head, int status, String outcome, String message) implements CallCheck {}
+    record Rejected(CallHead head, int status, String outcome, String message) implements CallCheck {
+
+        /** Whether another configuration could allow the request. */
+        boolean dependsOnConfig() {
+            return head != null;
+        }
+    }
 
     /**
      * This router cannot decide whether the request is allowed; another one may be able to.
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigFreshness.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigFreshness.java
@@ -3,9 +3,10 @@
 import org.onyxhinge.wire.SuspendAwareClock;
 
 /**
- * Decides how long API keys are trusted after the store last confirmed their configuration as the newest, counted from
- * when the confirming read was sent. A router cut off from the store stops trusting keys before the time that operators
- * allow for revoking a key has passed. Thread-safe.
+ * Decides how long a configuration is relied on after the store last confirmed it as the newest, counted from when the
+ * confirming read was sent. A router cut off from the store stops trusting API keys before the time that operators allow
+ * for revoking a key has passed. Routes are relied on as being the newest for the time in which a newer configuration is
+ * to be in force. Thread-safe.
  */
 public final class ConfigFreshness {
 
@@ -17,14 +18,24 @@
 
     private final SuspendAwareClock clock = SuspendAwareClock.create();
     private final long maxAgeMs;
+    private final long applyMs;
 
-    private ConfigFreshness(long maxAgeMs) {
+    private ConfigFreshness(long maxAgeMs, long applyMs) {
         this.maxAgeMs = maxAgeMs;
+        this.applyMs = applyMs;
     }
 
     /** Creates an instance for the time that operators allow for revoking a key; 0 for no limit. */
     public static ConfigFreshness within(long maxAgeMs) {
-        return new ConfigFreshness(maxAgeMs);
+        return within(maxAgeMs, 0);
+    }
+
+    /**
+     * Creates an instance for the time that operators allow for revoking a key, and for the time in which a new
+     * configuration is to be in force; 0 for no limit.
+     */
+    public static ConfigFreshness within(long maxAgeMs, long applyMs) {
+        return new ConfigFreshness(maxAgeMs, applyMs);
     }
 
     /** Timestamp for a read that is sent now. */
@@ -38,6 +49,14 @@
                 || confirmedAtMs != NEVER_CONFIRMED_MS && ageMs(confirmedAtMs) < maxAgeMs - PROPAGATION_MARGIN_MS;
     }
 
+    /**
+     * True while a configuration that was confirmed at {@code confirmedAtMs} decides like the newest one that has to be
+     * in force.
+     */
+    boolean isCurrent(long confirmedAtMs) {
+        return applyMs == 0 || confirmedAtMs != NEVER_CONFIRMED_MS && ageMs(confirmedAtMs) <= applyMs;
+    }
+
     /** Time since a confirmation; -1 if there was none. */
     long ageMs(long confirmedAtMs) {
         return confirmedAtMs == NEVER_CONFIRMED_MS ? -1 : clock.nowMs() - confirmedAtMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -21,6 +21,7 @@
     private final CallLogEntry logEntry;
     private final long arrivedAtMs;
     private final long unreadMs;
+    private boolean confirmationAwaited;
 
     ExchangeIntake(
             Forwarder forwarder,
@@ -39,7 +40,7 @@
         this.unreadMs = unreadMs;
     }
 
-    /** Checks the request's head; holds the request if there is no configuration yet. */
+    /** Checks the request's head; holds the request if what decides it is not known yet. */
     void check() {
         if (forwarder.shutdown().refusesCalls()) {
             end.refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
@@ -47,16 +48,45 @@
         }
         Optional<ConfirmedConfig> config = forwarder.activeConfig();
         if (config.isEmpty()) {
-            forwarder.holdUntilConfigured(exchange);
+            forwarder.awaitingConfig().holdUntilConfigured(exchange);
             return;
         }
         logEntry.configVersion = config.get().config().version();
         logEntry.confirmationAgeMs = forwarder.freshness().ageMs(config.get().confirmedAtMs());
         CallCheck result = CallCheck.of(request, forwarder.protocol(), config.get(), forwarder.freshness());
         logEntry.requestId = result.head() == null ? "" : result.head().requestId();
+        boolean current = forwarder.freshness().isCurrent(config.get().confirmedAtMs());
+        if (current || !heldForConfirmation(result)) {
+            decide(result, current);
+        }
+    }
+
+    /** Holds the request once if a newer configuration may decide otherwise. */
+    private boolean heldForConfirmation(CallCheck result) {
+        if (confirmationAwaited || result instanceof CallCheck.Rejected r && !r.dependsOnConfig()) {
+            return false;
+        }
+        confirmationAwaited = true;
+        boolean held = forwarder.awaitingConfig().holdUntilConfirmed(exchange);
+        forwarder.metrics().event(held ? "config.calls_held" : "config.calls_unconfirmed");
+        return held;
+    }
+
+    /**
+     * Carries out the result of the check.
+     *
+     * @param current whether it is that of the newest configuration that has to be in force; if not, a known route is
+     *     served as before, and nothing is refused for good
+     */
+    private void decide(CallCheck result, boolean current) {
         switch (result) {
             case CallCheck.Allowed a -> onAllowed(a);
-            case CallCheck.Rejected r -> end.fail(r.status(), r.outcome(), r.message());
+            case CallCheck.Rejected r
+            when current || !r.dependsOnConfig() -> end.fail(r.status(), r.outcome(), r.message());
+            case CallCheck.Rejected r -> {
+                logEntry.addTrouble("config", r.outcome());
+                end.refuse("config_unconfirmed", CallerResponse.OTHER_ROUTER_RETRY_MS);
+            }
             case CallCheck.Undetermined u -> end.refuse(u.why(), CallerResponse.OTHER_ROUTER_RETRY_MS);
         }
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -1,9 +1,6 @@
 package org.onyxhinge.router.forward;
 
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
@@ -40,11 +37,6 @@
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
     private static final long SWEEP_INTERVAL_MS = 100;
-    /**
-     * How long calls wait for the first configuration. A starting router receives it within this time unless the store
-     * is unavailable.
-     */
-    private static final long CONFIG_WAIT_MS = 600;
     /** Retry delay after a target rejected a call; gives it time to work off its queue. */
     static final long SHED_RETRY_MS = 500;
 
@@ -61,7 +53,6 @@
     private final CallerDeadlines deadlines = CallerDeadlines.create();
     private final TargetConnections connections;
     private final CallsInProgress calls = new CallsInProgress();
-    private final Set<Exchange> awaitingConfig = new LinkedHashSet<>();
     private final CrashQuarantine crashQuarantine;
     private final TargetRateLimits targetLimits;
     private final Rollouts rollouts;
@@ -78,6 +69,7 @@
     private final SlowReaders readers;
     private Context context;
     private ReadBarrier reads;
+    private CallsAwaitingConfig awaitingConfig;
     private StartScheduler startScheduler;
     private EventLoopDelay loopDelay;
     private WaitingExchanges waiting;
@@ -147,6 +139,7 @@
         f.context = vertx.getOrCreateContext();
         f.startScheduler = new StartScheduler(vertx, f.context, f.metrics);
         f.reads = ReadBarrier.of(f.context);
+        f.awaitingConfig = new CallsAwaitingConfig(vertx, f.reads);
         f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
         f.waiting = new WaitingExchanges(vertx, f.context, f.reads, f.placement);
         f.targets = new TargetRegistry(
@@ -227,9 +220,7 @@
         config.replace(newer);
         context.runOnContext(v -> {
             peerDelegate.configChanged(newer);
-            List<Exchange> held = List.copyOf(awaitingConfig);
-            awaitingConfig.clear();
-            held.forEach(Exchange::check);
+            awaitingConfig.configured();
         });
     }
 
@@ -239,7 +230,18 @@
      * @param askedAtMs when the confirming read was sent, by the suspend-aware clock
      */
     public void confirmed(long askedAtMs) {
-        config.confirmed(askedAtMs);
+        boolean confirmed = config.confirmed(askedAtMs);
+        context.runOnContext(v -> awaitingConfig.confirmationTried(confirmed));
+    }
+
+    /** Records that the store could not be asked for the newest configuration, or holds one that is not in force. */
+    public void unconfirmed() {
+        context.runOnContext(v -> awaitingConfig.confirmationTried(false));
+    }
+
+    /** Sets what asks the store for the newest configuration; {@code ask} may be run on any thread, and often. */
+    public void confirmBy(Runnable ask) {
+        context.runOnContext(v -> awaitingConfig.askBy(ask));
     }
 
     /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
@@ -249,16 +251,9 @@
         records.storeRestored();
     }
 
-    /** Holds a call that arrived before the first configuration, for a limited time. */
-    void holdUntilConfigured(Exchange exchange) {
-        awaitingConfig.add(exchange);
-        vertx.setTimer(
-                CONFIG_WAIT_MS,
-                t -> reads.afterRead(() -> {
-                    if (awaitingConfig.remove(exchange)) {
-                        exchange.refuseWithoutConfig();
-                    }
-                }));
+    /** Calls that are held until they can be checked. */
+    CallsAwaitingConfig awaitingConfig() {
+        return awaitingConfig;
     }
 
     /** The registered targets. */
