What a router keeps for a route ends with the route

What callers saw: a router with 96 MB of heap ends by OutOfMemoryError once about 120 routes have had a call. Cause: two histograms a route, of three digits up to an hour, for as long as the process lives, and counters for each route that there ever was.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RetryBudget.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/RetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Limits the retries of a service's requests on other targets, across all routers and without communication between
@@ -36,6 +37,17 @@
         return new RetryBudget(ratio, allowance, windowMs);
     }
 
+    /** Forgets all services but those given. */
+    public void retain(Set<String> services) {
+        requests.keySet().retainAll(services);
+        retries.keySet().retainAll(services);
+    }
+
+    /** Number of services with requests or retries. */
+    public int size() {
+        return Math.max(requests.size(), retries.size());
+    }
+
     /** Counts a caller's request for a service. */
     public void countRequest(String service, long nowMs) {
         count(requests, service).add(nowMs);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallerDeadlines.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/CallerDeadlines.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Learns the deadline that callers of each route usually send with their first attempt. A retry after a refusal carries
@@ -75,6 +76,16 @@
         }
     }
 
+    /** Forgets all routes but those given. */
+    public void retain(Set<String> routes) {
+        byRoute.keySet().retainAll(routes);
+    }
+
+    /** Number of routes whose deadlines are known. */
+    public int size() {
+        return byRoute.size();
+    }
+
     /** Records that a caller is refused and may retry. */
     public void refused(long nowMs) {
         lastRefusedAtMs = nowMs;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ResponseLengthEstimator.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ResponseLengthEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Estimates the number of events in a response, per route. Callers' limits are often far above the actual length, so
@@ -39,6 +40,16 @@
                 : Math.max(1, Math.round(expectedTokens * recent.meanEventsWithEstimate / recent.meanEstimatedTokens));
     }
 
+    /** Forgets all routes but those given. */
+    public void retain(Set<String> routes) {
+        byRoute.keySet().retainAll(routes);
+    }
+
+    /** Number of routes whose responses are known. */
+    public int size() {
+        return byRoute.size();
+    }
+
     /** Records a response that completed. */
     public void ended(String route, int meanEvents, long expectedTokens) {
         RouteAverages recent = byRoute.computeIfAbsent(route, r -> new RouteAverages());
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One accepted version of routes, services, workspaces and limits. Immutable: a call reads one version through one
@@ -78,6 +80,16 @@
         return routes;
     }
 
+    /** Names of all routes. */
+    public Set<String> routeNames() {
+        return routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Names of all services. */
+    public Set<String> serviceNames() {
+        return Set.copyOf(services.keySet());
+    }
+
     /**
      * The route of a call: among the host's routes, the one with the longest matching path prefix.
      *
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -168,11 +168,12 @@
      * @param plan the call's plan; null if its head was not accepted
      */
     void write(Forwarder forwarder, CallPlan plan, long tookMs, String outcome, String why) {
-        String routeName = plan == null ? "none" : plan.route().name();
+        String routeName =
+                plan == null ? ForwardingMetrics.NO_ROUTE : plan.route().name();
         forwarder.metrics().callEnded(routeName, outcome);
-        if (firstByteMs >= 0) {
-            forwarder.metrics().firstByteMs(routeName, firstByteMs);
-            forwarder.metrics().completionMs(routeName, tookMs);
+        if (firstByteMs >= 0 && plan != null) {
+            forwarder.metrics().firstByteMs(plan.service(), firstByteMs);
+            forwarder.metrics().completionMs(plan.service(), tookMs);
         }
         LOG.infof(
                 "call id=%s fingerprint=%s outcome=%s why=\"%s\" route=%s workspace=%s rank=%d queuedRank=%d"
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.router.forward;
 
 import java.util.Optional;
+import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
@@ -220,10 +221,20 @@
         config.replace(newer);
         context.runOnContext(v -> {
             peerDelegate.configChanged(newer);
+            forgetAllBut(newer);
             awaitingConfig.configured();
         });
     }
 
+    /** Forgets what belongs to routes and services that a configuration does not have. */
+    private void forgetAllBut(ForwardingConfig current) {
+        Set<String> routes = current.routeNames();
+        deadlines.retain(routes);
+        lengths.retain(routes);
+        retries.retain(current.serviceNames());
+        metrics.retain(current);
+    }
+
     /**
      * Records that the store has confirmed the active configuration as the newest.
      *
