--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigFreshness.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ConfigFreshness.java
@@ -4,9 +4,9 @@
 
 /**
  * Decides how long a configuration is relied on after the store last confirmed it as the newest, counted from when the
- * confirming read was sent. A router cut off from the store stops trusting API keys before the time that operators allow
- * for revoking a key has passed. Routes are relied on as being the newest for the time in which a newer configuration is
- * to be in force. Thread-safe.
+ * confirming read was sent. A router cut off from the store stops trusting API keys before the time that operators
+ * allow for revoking a key has passed. Routes are relied on for the time in which a newer configuration is to be in
+ * force. Thread-safe.
  */
 public final class ConfigFreshness {
 
--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/LatencyHistogram.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/LatencyHistogram.java
@@ -32,7 +32,7 @@
         return new LatencyHistogram(1, MAX_VALUE_US, SIGNIFICANT_DIGITS);
     }
 
-    /** Creates an empty histogram for values from 1 ms to ten minutes, with two significant digits: a tenth as large. */
+    /** Creates an empty histogram of a tenth of the size: for values from 1 ms to ten minutes, with two digits. */
     public static LatencyHistogram ofMilliseconds() {
         return new LatencyHistogram(MILLISECOND_US, MAX_COARSE_US, COARSE_DIGITS);
     }
--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ProgressLimit.java
+++ b/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/ProgressLimit.java
@@ -5,9 +5,9 @@
 import io.vertx.core.Vertx;
 
 /**
- * Time limits of something that arrives in parts: each part is due some time after the one before, and the last one some
- * time after the start. What has arrived but was not read, because the event loop was late, counts as in time. Confined
- * to one event loop.
+ * Time limits of something that arrives in parts: each part is due some time after the one before, and the last one
+ * some time after the start. What has arrived but was not read, because the event loop was late, counts as in time.
+ * Confined to one event loop.
  */
 public final class ProgressLimit implements AutoCloseable {
 
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KeyReader.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KeyReader.java
@@ -9,8 +9,8 @@
 import org.onyxhinge.wire.Loop;
 
 /**
- * Keeps one key of a mirror confirmed while its watch is late, by reads of that key alone. Runs on the mirror's context;
- * {@link #want} may be called from any thread.
+ * Keeps one key of a mirror confirmed while its watch is late, by reads of that key alone. Runs on the mirror's
+ * context; {@link #want} may be called from any thread.
  */
 public final class KeyReader {
 
