--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ManyRoutesTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/ManyRoutesTest.java
@@ -3,6 +3,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
+import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpServer;
@@ -23,6 +25,7 @@
     private static final long TIMEOUT_MS = 10_000;
 
     private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
     private final HttpClient client = vertx.createHttpClient();
     private final int port = Ports.free();
     private Processes processes;
@@ -68,17 +71,19 @@
     }
 
     private int status(int route) {
-        return Launch.await(
-                client.request(new RequestOptions()
-                                .setHost("127.0.0.1")
-                                .setPort(port)
-                                .setURI("/r" + route + "/1")
-                                .putHeader("Host", "letters.example")
-                                .putHeader("X-Onyx-Key", "k1")
-                                .putHeader("X-Onyx-Request-Id", "call-" + route))
-                        .compose(r -> r.send())
-                        .compose(response -> response.body().map(b -> response.statusCode())),
-                TIMEOUT_MS);
+        RequestOptions options = new RequestOptions()
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setURI("/r" + route + "/1")
+                .putHeader("Host", "letters.example")
+                .putHeader("X-Onyx-Key", "k1")
+                .putHeader("X-Onyx-Request-Id", "call-" + route);
+        // On the client's own context, so that no response is read before its handler is set.
+        Future<Integer> status = Future.future(p -> context.runOnContext(v -> client.request(options)
+                .compose(r -> r.send())
+                .compose(response -> response.body().map(b -> response.statusCode()))
+                .onComplete(p)));
+        return Launch.await(status, TIMEOUT_MS);
     }
 
     /** Guards against memory that a router keeps for each route that has had a call. */
