Calls go on waiting when an old confirmation comes in

A confirmation by a poll that took longer than configApplyMs released the calls that wait for a newer one, and they were decided as if the store could not be asked: a known route by a version that may be replaced. They now go on waiting for the read of the configuration. UnconfirmedConfigTest#anOldConfirmationDecidesNothing failed before; the class tests the other decisions on calls without a new confirmation, without a store.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -242,7 +242,10 @@
      */
     public void confirmed(long askedAtMs) {
         boolean confirmed = config.confirmed(askedAtMs);
-        context.runOnContext(v -> awaitingConfig.confirmationTried(confirmed));
+        // A confirmation by a read that took long is too old for the calls that wait; another read is under way.
+        if (!confirmed || freshness.isCurrent(askedAtMs)) {
+            context.runOnContext(v -> awaitingConfig.confirmationTried(confirmed));
+        }
     }
 
     /** Records that the store could not be asked for the newest configuration, or holds one that is not in force. */
