A call that could not be sent until late in a shutdown is refused

Cause: whether there is time was asked when a call is accepted only.

2.5 s before the end of the grace (2 s for the run, 0.5 s for the exit) calls that have not been sent are refused as not run, so that their callers go to another router. Calls that were sent go on as before. LateInShutdownTest, two cases, failed before (502).

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsInProgress.java
@@ -52,6 +52,11 @@
         List.copyOf(attempts).forEach(a -> a.giveUpIfUnanswered(nowMs));
     }
 
+    /** Refuses the exchanges that have not been sent to a target, because too little time is left for them. */
+    void refuseUnsent() {
+        List.copyOf(exchanges).forEach(Exchange::refuseUnsent);
+    }
+
     /** Ends all exchanges because the process is about to exit. */
     void abort() {
         List.copyOf(exchanges).forEach(Exchange::abortByShutdown);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Exchange.java
@@ -278,6 +278,14 @@
         abort(504, "timeout", "no whole answer within the time there was", 0);
     }
 
+    /** Refuses a call that has not been sent to a target, because the process is about to exit. */
+    void refuseUnsent() {
+        if (!end.finished() && history.sendCount() == 0 && !attempts.isRunning()) {
+            cancelWork();
+            end.refuse("leaving", CallerResponse.OTHER_ROUTER_RETRY_MS);
+        }
+    }
+
     /** Ends a call that is still in progress when the process exits, and logs that as the reason. */
     void abortByShutdown() {
         abort(502, "stop", "the router was stopped before the answer was whole", CallerResponse.OTHER_ROUTER_RETRY_MS);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -313,8 +313,9 @@
     public Future<Void> drain() {
         Promise<Void> done = Promise.promise();
         shutdown.markRequested();
-        context.runOnContext(v -> shutdown.run(vertx, reads, callers, calls::exchangeCount, calls::abort)
-                .onComplete(done));
+        context.runOnContext(
+                v -> shutdown.run(vertx, reads, callers, calls::exchangeCount, calls::refuseUnsent, calls::abort)
+                        .onComplete(done));
         return done.future();
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/GracefulShutdown.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/GracefulShutdown.java
@@ -23,6 +23,9 @@
     /** Part of the grace period reserved for the process itself to exit. */
     private static final long EXIT_MARGIN_MS = 500;
 
+    /** A call that is sent later than this before the end would probably be cut off. */
+    private static final long MIN_RUN_MS = 2_000;
+
     private static final long CHECK_INTERVAL_MS = 100;
 
     private final long graceMs;
@@ -52,6 +55,7 @@
      *
      * @param reads the barrier of that context
      * @param inProgress number of calls in progress
+     * @param refuseUnsent refuses the calls that have not been sent to a target
      * @param abortRemaining ends the calls for which no time is left
      * @return completes when no calls or connections remain, or the grace period is over
      */
@@ -60,11 +64,15 @@
             ReadBarrier reads,
             CallerConnections callers,
             IntSupplier inProgress,
+            Runnable refuseUnsent,
             Runnable abortRemaining) {
         Promise<Void> done = Promise.promise();
         vertx.setPeriodic(
                 CHECK_INTERVAL_MS,
                 t -> reads.afterRead(() -> {
+                    if (ageMs() > Math.max(ACCEPT_CALLS_MS, graceMs - EXIT_MARGIN_MS - MIN_RUN_MS)) {
+                        refuseUnsent.run();
+                    }
                     if (hasEnded(callers, inProgress) && done.tryComplete()) {
                         vertx.cancelTimer(t);
                         LOG.infof("draining ended tookMs=%d cutOff=%d", ageMs(), inProgress.getAsInt());
