Quotas of workspaces that are gone, and totals of routers that are gone, are forgotten

Cause: WorkspaceQuotas kept a quota and a limit for every workspace that ever had a call, and in each quota a total of every router that ever reported; the tracker of usage kept every router's state.

Change: a workspace that is not configured is forgotten once nothing that it used is in the window; a router that has left, once its last report is older than the window. A workspace that comes back is not charged for what other routers still count from before (its totals begin as unknown), and a total that starts anew at another router takes back no more than the usage in the window, so that nothing is let through beyond the quota.

Tests: WorkspaceQuotasTest$Gone, 6 cases. Two cases need the new methods to compile at all; the other four were each red with one line of the change taken out (the window check, the unknown totals, the clamp, the router that reports again). SharedQuotaProperties, LoweredQuotaTest, RouterPeersTest pass.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/limit/SharedQuota.java
@@ -228,8 +228,24 @@
         peerTotals.putIfAbsent(router, new PeerTotal(incarnation, 0));
     }
 
+    /** Whether nothing is known or presumed to have been admitted in the window. */
+    public boolean isUnused(long nowMs) {
+        return usedInWindow(nowMs) <= 0;
+    }
+
+    /** Forgets a router; its next total counts as none of its usage since then. */
+    public void forgetPeer(String router) {
+        peerTotals.remove(router);
+    }
+
+    /** Number of other routers whose totals are kept. */
+    public int peerCount() {
+        return peerTotals.size();
+    }
+
     /**
-     * Applies another router's running total.
+     * Applies another router's running total. A total falls when calls are refunded, and if the router has forgotten
+     * the quota meanwhile; no more than the usage in the window is taken back.
      *
      * @param router the router
      * @param incarnation a number that differs at each start of that router
@@ -246,7 +262,9 @@
             used.add(nowMs, ownTotal);
             usageKnownFromMs = nowMs;
         } else if (before != null) {
-            long increase = before.incarnation() == incarnation ? total - before.total() : total;
+            long increase = before.incarnation() == incarnation
+                    ? Math.max(total - before.total(), -Math.max(0, used.total(nowMs)))
+                    : total;
             used.add(nowMs, increase);
             level -= increase;
         } else if (nowMs < usageKnownFromMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/route/ForwardingConfig.java
@@ -85,6 +85,11 @@
         return routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Names of all workspaces. */
+    public Set<String> workspaceNames() {
+        return Set.copyOf(workspaces.keySet());
+    }
+
     /** Names of all services. */
     public Set<String> serviceNames() {
         return Set.copyOf(services.keySet());
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -227,12 +227,13 @@
         });
     }
 
-    /** Forgets what belongs to routes and services that a configuration does not have. */
+    /** Forgets what belongs to routes, services and workspaces that a configuration does not have. */
     private void forgetAllBut(ForwardingConfig current) {
         Set<String> routes = current.routeNames();
         deadlines.retain(routes);
         lengths.retain(routes);
         retries.retain(current.serviceNames());
+        quotas.retain(current.workspaceNames(), MonotonicClock.nowMs());
         metrics.retain(current);
     }
 
@@ -366,6 +367,7 @@
         rollouts.sweep(nowMs);
         connections.sweep(id -> placement.target(id).map(TargetState::isReady).orElse(false));
         quotas.heardPart(peers.heardPart());
+        quotas.sweep(nowMs);
         activeConfig()
                 .ifPresent(c -> callers.closeIdleLongerThan(c.config().limits().idleTimeoutMs()));
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -120,6 +120,7 @@
     @Override
     public void onRouterLeft(String routerId) {
         placement.routerGone(routerId);
+        quotas.routerLeft(routerId);
     }
 
     @Override
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerUsageTracker.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerUsageTracker.java
@@ -85,6 +85,11 @@
         listener.onRouterSilent(routerId);
     }
 
+    /** Forgets a router that has left. */
+    void forget(String routerId) {
+        routers.remove(routerId);
+    }
+
     /** Notified when a router is no longer heard from. */
     @FunctionalInterface
     interface SilenceListener {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -393,6 +393,7 @@
             if (departed) {
                 LOG.infof("router left router=%s", e.getKey());
                 Optional.ofNullable(links.remove(e.getKey())).ifPresent(PeerLink::close);
+                usageTracker.forget(e.getKey());
                 delegate.onRouterLeft(e.getKey());
             }
             return departed;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/WorkspaceQuotas.java
@@ -1,12 +1,15 @@
 package org.onyxhinge.router.forward;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Function;
 
 import org.jboss.logging.Logger;
+import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.core.limit.PriorUsage;
 import org.onyxhinge.core.limit.QuotaState;
 import org.onyxhinge.core.limit.SharedQuota;
@@ -29,10 +32,16 @@
     /** Number of positions at which a router's retry times may begin. */
     private static final int SPREAD_STARTS = 997;
 
+    /** Names of forgotten workspaces that are kept in case they return. */
+    private static final int MAX_FORGOTTEN = 256;
+
     private final Map<String, SharedQuota> quotas = new HashMap<>();
     private final Map<String, Limit> limits = new HashMap<>();
-    /** The start id ({@code life}) last reported by each router. */
-    private final Map<String, Long> startIdByRouter = new HashMap<>();
+    /** Workspaces whose quotas were forgotten here, so that their totals at the other routers are unknown. */
+    private final Map<String, Boolean> forgotten = BoundedMap.dropOldest(MAX_FORGOTTEN);
+
+    private final Map<String, HeardRouter> heardRouters = new HashMap<>();
+    private final Set<String> leftRouters = new HashSet<>();
 
     private final ForwardingSettings settings;
     private final long windowMs;
@@ -62,6 +71,14 @@
      */
     record Exceeded(long units, long waitMs, QuotaState state) {}
 
+    /**
+     * Another router that has reported its usage.
+     *
+     * @param startId identifies its start ({@code life})
+     * @param atMs when it last reported
+     */
+    private record HeardRouter(long startId, long atMs) {}
+
     /** A workspace as set by configuration {@code version}. */
     private record Limit(long version, WorkspaceAccess workspace) {}
 
@@ -101,7 +118,9 @@
             quota.spreadRetries(Math.floorMod(settings.routerId().hashCode(), SPREAD_STARTS) / (double) SPREAD_STARTS);
         }
         // Routers that were heard from have reported no usage of this workspace, so they have not let anything through.
-        startIdByRouter.forEach(quota::addIdlePeer);
+        if (forgotten.remove(workspace.name()) == null) {
+            heardRouters.forEach((router, heard) -> quota.addIdlePeer(router, heard.startId()));
+        }
         return quota;
     }
 
@@ -196,6 +215,46 @@
             OptionalLong known = window == null ? OptionalLong.empty() : OptionalLong.of(window);
             quota.heard(usage.routerId(), usage.startId(), total, known, nowMs);
         });
-        startIdByRouter.put(usage.routerId(), usage.startId());
+        heardRouters.put(usage.routerId(), new HeardRouter(usage.startId(), nowMs));
+        leftRouters.remove(usage.routerId());
+    }
+
+    /** Forgets the workspaces that are not configured any more, once nothing that they used is in the window. */
+    void retain(Set<String> workspaces, long nowMs) {
+        limits.keySet().retainAll(workspaces);
+        quotas.entrySet().removeIf(e -> {
+            boolean gone = !workspaces.contains(e.getKey()) && e.getValue().isUnused(nowMs);
+            if (gone) {
+                forgotten.put(e.getKey(), true);
+            }
+            return gone;
+        });
+    }
+
+    /** Records that a router is gone; its totals are kept as long as what it let through may be in the window. */
+    void routerLeft(String router) {
+        if (heardRouters.containsKey(router)) {
+            leftRouters.add(router);
+        }
+    }
+
+    /** Forgets the routers that are gone and whose last usage has left the window. */
+    void sweep(long nowMs) {
+        leftRouters.removeIf(router -> {
+            boolean over = nowMs - heardRouters.get(router).atMs() > windowMs;
+            if (over) {
+                heardRouters.remove(router);
+                quotas.values().forEach(q -> q.forgetPeer(router));
+            }
+            return over;
+        });
+    }
+
+    /** Number of workspaces and routers that something is kept for. */
+    int size() {
+        return limits.size()
+                + quotas.size()
+                + heardRouters.size()
+                + quotas.values().stream().mapToInt(SharedQuota::peerCount).sum();
     }
 }
