Services that are gone are forgotten by the placement and the rollouts

Change: as a configuration comes in force, a service that it does not name is forgotten if it has no registered target and no call waiting or running here; its versions, if no rollout was ordered and the store holds nothing about one.

Tests: ForgottenNamesTest$Services, 3 cases; keeping services with calls and forgetting their targets that left were each red with that line taken out.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/admit/RetryLedger.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/admit/RetryLedger.java
@@ -147,6 +147,11 @@
         promises.recent++;
     }
 
+    /** Forgets the promises of a service. */
+    public void forget(String service) {
+        own.remove(service);
+    }
+
     /** Counts a refusal that this router sends its peers, for any reason and with or without a promise. */
     public void refusalSent(long nowMs) {
         decay(nowMs);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Placement.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 
@@ -286,6 +288,40 @@
         targets.versionRoles(service, roles);
     }
 
+    /** Removes what {@link #versionRoles} has set for a service. */
+    public void versionRolesRemoved(String service) {
+        targets.versionRolesRemoved(service);
+    }
+
+    /** Whether a target of a service is registered. */
+    public boolean hasTargets(String service) {
+        return targets.anyRegistered(service);
+    }
+
+    /** Forgets the services that are not configured, have no registered target and no call waiting or running here. */
+    public void retainServices(Set<String> configured) {
+        Set<String> known = new HashSet<>(demands.keySet());
+        known.addAll(targets.serviceNames());
+        known.removeAll(configured);
+        for (String service : known) {
+            ServiceDemand demand = demands.get(service);
+            if (!hasTargets(service) && (demand == null || demand.isIdle())) {
+                demands.remove(service);
+                borrowing.remove(service);
+                schedule.ifPresent(s -> s.forget(service));
+                targets.forget(service);
+            }
+        }
+    }
+
+    /** Number of services that something is kept for. */
+    int serviceCount() {
+        Set<String> known = new HashSet<>(demands.keySet());
+        known.addAll(borrowing.keySet());
+        known.addAll(targets.serviceNames());
+        return known.size();
+    }
+
     /** Average time that the targets of a service need to read one prompt token. */
     public double prefillMsPerToken(String service) {
         ServiceTargets known = targets.of(service);
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/RetrySchedule.java
@@ -34,6 +34,12 @@
         return ledger;
     }
 
+    /** Forgets a service. */
+    void forget(String service) {
+        arrivals.remove(service);
+        ledger.forget(service);
+    }
+
     /** Takes the current arrival rates of all routers into the averages. */
     void observe(String service, ServiceDemand demand, int routers, long nowMs) {
         LongRates rates = arrivals.computeIfAbsent(service, s -> new LongRates());
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceDemand.java
@@ -77,6 +77,11 @@
         workspaceShares.ifPresent(s -> s.peerUsed(peer, uses, nowMs));
     }
 
+    /** Whether no call of this router waits or runs. */
+    boolean isIdle() {
+        return waiting.isEmpty() && running.isEmpty();
+    }
+
     /** Calls queued at this router. */
     WaitingCalls waiting() {
         return waiting;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/ServiceTargets.java
@@ -85,6 +85,10 @@
         return name;
     }
 
+    boolean isEmpty() {
+        return targets.isEmpty();
+    }
+
     void add(TargetState target) {
         targets.add(target);
         assigned = false;
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetTable.java
@@ -75,6 +75,26 @@
         applyRoles(service);
     }
 
+    void versionRolesRemoved(String service) {
+        rolesByService.remove(service);
+    }
+
+    /** Names of the services that have targets, or had some. */
+    Set<String> serviceNames() {
+        return services.keySet();
+    }
+
+    boolean anyRegistered(String service) {
+        ServiceTargets known = services.get(service);
+        return known != null && !known.isEmpty();
+    }
+
+    /** Forgets a service without registered targets, and its targets that left recently. */
+    void forget(String service) {
+        services.remove(service);
+        departed.values().removeIf(t -> t.service().name().equals(service));
+    }
+
     private void applyRoles(String service) {
         VersionRoles roles = rolesByService.get(service);
         if (roles != null && services.containsKey(service)) {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ForgottenNamesTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ForgottenNamesTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.core.limit.RetryBudget;
 
@@ -50,4 +51,61 @@
         assertThat(budget.size(), is(1));
         assertThat("still known", budget.tryRetry(KEPT, 1, 0), is(true));
     }
+
+    @Nested
+    class Services {
+
+        private final Placement placement = Placement.create("here");
+
+        private static Target target(String service) {
+            return new Target("m-" + service, 0, service, "", "10.0.0.1", 80, "here", 1, true, 0);
+        }
+
+        private Verdict.Send send(String service) {
+            return (Verdict.Send) placement.submit(Call.of(service, 0).build(), 0);
+        }
+
+        private void end(Verdict.Send sent) {
+            placement.ended(sent.call(), sent.target(), true, 0);
+        }
+
+        @Test
+        void withoutTargetsAreForgotten() {
+            placement.targetSeen(target(KEPT));
+            for (int i = 0; i < VERSIONS; i++) {
+                String service = "service-" + i;
+                placement.targetSeen(target(service));
+                end(send(service));
+                placement.targetGone(target(service).id());
+                placement.retainServices(Set.of(KEPT));
+            }
+            assertThat(placement.serviceCount(), is(1));
+            end(send(KEPT));
+        }
+
+        /** Guards against calls that are not counted any more, or can't end, since their service is not configured. */
+        @Test
+        void withCallsOrTargetsAreKept() {
+            placement.targetSeen(target("running"));
+            Verdict.Send running = send("running");
+            placement.targetGone(target("running").id());
+            placement.targetSeen(target("registered"));
+            placement.retainServices(Set.of(KEPT));
+            assertThat(placement.serviceCount(), is(2));
+            end(running);
+            end(send("registered"));
+            placement.retainServices(Set.of(KEPT));
+            assertThat(placement.serviceCount(), is(1));
+        }
+
+        /** Guards against a target that takes no calls because it belongs to a service that was forgotten. */
+        @Test
+        void thatReturnGetCalls() {
+            placement.targetSeen(target(KEPT));
+            placement.targetGone(target(KEPT).id());
+            placement.retainServices(Set.of());
+            placement.targetSeen(target(KEPT));
+            assertThat(send(KEPT).target().info(), is(target(KEPT)));
+        }
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -232,7 +232,10 @@
         Set<String> routes = current.routeNames();
         deadlines.retain(routes);
         lengths.retain(routes);
-        retries.retain(current.serviceNames());
+        Set<String> services = current.serviceNames();
+        retries.retain(services);
+        rollouts.retain(services);
+        placement.retainServices(services);
         quotas.retain(current.workspaceNames(), MonotonicClock.nowMs());
         metrics.retain(current);
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
@@ -76,6 +76,18 @@
         return services.computeIfAbsent(name, ServiceRollout::new);
     }
 
+    /** Forgets the services that are not configured, have no registered target and nothing in the store. */
+    void retain(Set<String> configured) {
+        services.values().removeIf(s -> {
+            boolean gone =
+                    !configured.contains(s.service()) && !placement.hasTargets(s.service()) && s.isWithoutRollout();
+            if (gone) {
+                placement.versionRolesRemoved(s.service());
+            }
+            return gone;
+        });
+    }
+
     /** Records the version of a registered target. */
     void targetSeen(Target target) {
         long nowMs = MonotonicClock.nowMs();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ServiceRollout.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ServiceRollout.java
@@ -62,6 +62,11 @@
         return rollout().filter(r -> !r.phase().isFinal());
     }
 
+    /** Whether no rollout was ordered and the store holds nothing about one. */
+    boolean isWithoutRollout() {
+        return rollout().isEmpty() && stored.isEmpty() && storedStatus.isEmpty();
+    }
+
     RolloutObserver.Usual usual(String route) {
         return usualByRoute.computeIfAbsent(route, r -> RolloutObserver.Usual.create());
     }
