The versions kept for a service are bounded

Cause: ServiceVersions kept every version that any target of a service ever registered with, and every replaced or rejected one.

Change: at most 1,024 of each kind, those last asked for or seen; a version that is not known any more is not held back as a new one.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
@@ -1,11 +1,11 @@
 package org.onyxhinge.core.rollout;
 
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.core.place.TargetRole;
 
 /** Decides which versions of one service get calls. Not thread-safe. */
@@ -17,9 +17,12 @@
      */
     private static final long UNORDERED_HOLD_MS = 1_000;
 
-    private final Map<String, Long> firstSeenAtMs = new HashMap<>();
-    private final Set<String> rejected = new HashSet<>();
-    private final Set<String> replaced = new HashSet<>();
+    /** Far more versions than have registered targets at a time. */
+    static final int MAX_VERSIONS = 1_024;
+
+    private final Map<String, Long> firstSeenAtMs = BoundedMap.dropLeastRecentlyUsed(MAX_VERSIONS);
+    private final Set<String> rejected = Collections.newSetFromMap(BoundedMap.dropOldest(MAX_VERSIONS));
+    private final Set<String> replaced = Collections.newSetFromMap(BoundedMap.dropOldest(MAX_VERSIONS));
     private Optional<Rollout> rollout = Optional.empty();
 
     /**
@@ -38,6 +41,11 @@
         }
     }
 
+    /** Number of versions that are kept, those that were replaced or rejected included. */
+    int size() {
+        return firstSeenAtMs.size() + rejected.size() + replaced.size();
+    }
+
     /** The latest rollout. */
     public Optional<Rollout> rollout() {
         return rollout;
@@ -88,7 +96,7 @@
         boolean current = rollout.map(r -> version.equals(r.order().version())).orElse(false);
         boolean held = !current
                 && firstSeenAtMs.size() > 1
-                && nowMs - firstSeenAtMs.getOrDefault(version, nowMs) < UNORDERED_HOLD_MS;
+                && nowMs - firstSeenAtMs.getOrDefault(version, nowMs - UNORDERED_HOLD_MS) < UNORDERED_HOLD_MS;
         return held ? TargetRole.WITHHELD : TargetRole.SERVING;
     }
 
