--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -27,6 +27,7 @@
 import org.onyxhinge.router.connection.TargetConnections;
 import org.onyxhinge.runtime.ProcessNetwork;
 import org.onyxhinge.runtime.ReadBarrier;
+import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.peer.PeerMessage;
 
@@ -324,6 +325,11 @@
         return done.future();
     }
 
+    /** The status endpoints of the process, whose metrics are in a registry. */
+    public StatusEndpoints statusEndpoints(MetricRegistry registry) {
+        return StatusEndpoints.create(registry, ForwardingMetrics::isByRoute, this::dump, this::ready);
+    }
+
     /** The current state, for the state dump. */
     public Future<JsonObject> dump() {
         Promise<JsonObject> out = Promise.promise();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingMetrics.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ForwardingMetrics.java
@@ -42,6 +42,11 @@
         return new ForwardingMetrics(registry);
     }
 
+    /** Whether a counter belongs to a route, so that there are as many as the configuration has routes. */
+    static boolean isByRoute(String name) {
+        return name.startsWith(CALLS);
+    }
+
     /** Removes what belongs to routes and services that a configuration does not have. */
     void retain(ForwardingConfig config) {
         routes = config.routeNames();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingNode.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/file/ForwardingNode.java
@@ -46,7 +46,7 @@
         return Forwarder.start(
                         vertx, setup.settings(), new OnyxCallProtocol(), ConfigFreshness.within(0), metrics, network)
                 .compose(forwarder -> {
-                    StatusEndpoints status = StatusEndpoints.create(metrics, forwarder::dump, forwarder::ready);
+                    StatusEndpoints status = forwarder.statusEndpoints(metrics);
                     return vertx.createHttpServer()
                             .requestHandler(status)
                             .listen(setup.status().port(), setup.status().host())
