Crashes before a quarantine was lifted do not count when they are reported again

Change: Quarantine remembers when it was lifted; crashes until then are discarded, whenever they are reported.

Test: QuarantineTest$Expiry#crashesBeforeALiftDoNotCountAgain, red without the comparison.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -61,6 +61,8 @@
     /** Until when no further trial of a suspect begins. */
     private final Map<Fingerprint, Long> trialUntilMs = new HashMap<>();
 
+    private long liftedAtMs = NEVER_MS;
+
     private Quarantine() {}
 
     /** Creates an empty quarantine. */
@@ -80,7 +82,7 @@
 
     /** Effect of a reported crash. */
     public enum Effect {
-        /** The crash was already known, or is too old to count. */
+        /** The crash was already known, is too old to count, or was before the quarantines were lifted. */
         NONE,
         /** The suspect is not blamed, because it was answered completely at about that time. */
         CLEARED,
@@ -102,7 +104,7 @@
 
     /** Records a crash, either observed here or reported by a peer. */
     public Effect recordCrash(Crash crash, long nowMs) {
-        if (nowMs - crash.atMs() >= CRASH_RETENTION_MS) {
+        if (nowMs - crash.atMs() >= CRASH_RETENTION_MS || crash.atMs() <= liftedAtMs) {
             return Effect.NONE;
         }
         Fingerprint suspect = crash.suspect();
@@ -329,8 +331,9 @@
                 && !holds(crash.suspect(), nowMs);
     }
 
-    /** Lifts all quarantines and discards all crashes. */
-    public void lift() {
+    /** Lifts all quarantines and discards all crashes until now, also those that are reported only later. */
+    public void lift(long nowMs) {
+        liftedAtMs = nowMs;
         crashes.clear();
         trialUntilMs.clear();
     }
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/quarantine/QuarantineTest.java
@@ -213,11 +213,25 @@
         @Test
         void liftDiscardsAllCrashes() {
             crashThree(CRASHING, 0);
-            quarantine.lift();
+            quarantine.lift(2);
             assertThat(quarantine.holds(CRASHING, 3), is(false));
             assertThat(quarantine.crashes(3).isEmpty(), is(true));
         }
 
+        /** Guards against a lifted quarantine that returns with a router which has not read of its end yet. */
+        @Test
+        void crashesBeforeALiftDoNotCountAgain() {
+            crashThree(CRASHING, 0);
+            quarantine.lift(10);
+            for (String incarnation : List.of("a", "b", "c")) {
+                Crash reportedAgain = new Crash(CRASHING, incarnation, 2);
+                assertThat(quarantine.recordCrash(reportedAgain, 20), is(Quarantine.Effect.NONE));
+            }
+            assertThat(quarantine.holds(CRASHING, 20), is(false));
+            crashThree(CRASHING, 30);
+            assertThat(quarantine.holds(CRASHING, 32), is(true));
+        }
+
         @Test
         void suspectsAreBounded() {
             for (int i = 0; i < 10_000; i++) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -356,7 +356,7 @@
     /** Lifts every quarantine, after its record was removed. */
     void lift() {
         LOG.infof("quarantine lifted suspects=%d", bySuspect().size());
-        quarantine.lift();
+        quarantine.lift(MonotonicClock.nowMs());
     }
 
     /** What is quarantined and the targets that it crashed, for the state dump. */
