--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/TestCaller.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/TestCaller.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward.file;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -17,18 +18,25 @@
     /** Held in a field because an unreferenced client is closed when it is garbage-collected. */
     private final HttpClient client;
 
+    /**
+     * All requests are made on one context. Requests that are made on the thread of a test are handled on another
+     * context each, which may be told of the response before the handlers of its body are added.
+     */
+    private final Context context;
+
     private final int port;
 
     /** A complete response. */
     record Answer(int status, String body, MultiMap headers) {}
 
-    private TestCaller(HttpClient client, int port) {
+    private TestCaller(HttpClient client, Context context, int port) {
         this.client = client;
+        this.context = context;
         this.port = port;
     }
 
     static TestCaller create(Vertx vertx, int port) {
-        return new TestCaller(vertx.createHttpClient(), port);
+        return new TestCaller(vertx.createHttpClient(), vertx.getOrCreateContext(), port);
     }
 
     /** Sends a POST with an API key and, in pairs of name and value, further headers. */
@@ -43,7 +51,8 @@
         for (int i = 0; i < headers.length; i += 2) {
             options.putHeader(headers[i], headers[i + 1]);
         }
-        return client.request(options).compose(TestCaller::readAnswer);
+        return Future.future(answered -> context.runOnContext(
+                v -> client.request(options).compose(TestCaller::readAnswer).onComplete(answered)));
     }
 
     /**
