A target's state does not grow with every call sent to it

Cause: TargetState keeps each slot that this router has taken by its turn until the others have learned of it, and removed expired ones only when it was asked whose turn it is. It is not asked for calls that are shorter than the news take, nor by a router without others: one entry a call, for the life of the target's registration.

Change: expired entries are removed as a further one is added.

Test: ForgottenNamesTest#slotsThatWereTakenAreForgotten, red before.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Reservations.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/Reservations.java
@@ -12,6 +12,17 @@
         untilMs.add(expiresAtMs);
     }
 
+    /** Adds a reservation and removes the expired ones, for callers that seldom ask for the number. */
+    void add(long expiresAtMs, long nowMs) {
+        count(nowMs);
+        add(expiresAtMs);
+    }
+
+    /** Number of reservations that are kept, the expired ones included. */
+    int size() {
+        return untilMs.size();
+    }
+
     /** Number of reservations that have not expired. */
     int count(long nowMs) {
         while (!untilMs.isEmpty() && untilMs.peek() <= nowMs) {
--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/place/TargetState.java
@@ -124,10 +124,15 @@
         if (freedSlots > 0) {
             freedSlots--;
         } else {
-            unannounced.add(announcedAtMs);
+            unannounced.add(announcedAtMs, nowMs);
         }
     }
 
+    /** Number of slots kept as taken by this router's turn, whether or not the others have learned of them. */
+    int unannouncedCount() {
+        return unannounced.size();
+    }
+
     /**
      * Whether this router may take a free slot by its turn: the routers take the free slots one at a time, in their
      * order for this target, and start over after the last one.
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ForgottenNamesTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/ForgottenNamesTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /** Guards against what is learned of a route or service and kept after it has gone. */
 class ForgottenNamesTest {
@@ -108,4 +109,23 @@
             assertThat(send(KEPT).target().info(), is(target(KEPT)));
         }
     }
+
+    /** Guards against slots that a router without others keeps as taken, one for each call it ever sent. */
+    @Test
+    void slotsThatWereTakenAreForgotten() {
+        Placement placement = Placement.create("here");
+        placement.targetSeen(new Target("m1", 0, KEPT, "", "10.0.0.1", 80, "here", 2, true, 0));
+        for (long nowMs = 0; nowMs < 100L * VERSIONS; nowMs += 100) {
+            Verdict.Send first = send(placement, nowMs);
+            Verdict.Send second = send(placement, nowMs);
+            placement.ended(first.call(), first.target(), true, nowMs);
+            placement.ended(second.call(), second.target(), true, nowMs);
+            placement.pump(nowMs);
+        }
+        assertThat(placement.target("m1").orElseThrow().unannouncedCount(), is(lessThan(VERSIONS / 10)));
+    }
+
+    private static Verdict.Send send(Placement placement, long nowMs) {
+        return (Verdict.Send) placement.submit(Call.of(KEPT, nowMs).build(), nowMs);
+    }
 }
