A request of a caller that has left does not reach the scheduler

Cause: a router that was stopped for 0.7 s finds 40 requests and the ends of their connections together.

Change: Dispatcher.submit waits until the connections have been read once more and leaves out requests that have ended by then. The barrier before a request is sent stays.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/TrafficVerticle.java
@@ -40,7 +40,7 @@
                 s.maxBodyBytes(),
                 context,
                 dispatcher,
-                new CallerApi.Dependencies(node, node.metrics(), node::config, node::draining, node.requestIds()));
+                new CallerApi.Dependencies(node.metrics(), node::config, node::draining, node.requestIds()));
         StatusEndpoints status = StatusEndpoints.create(node.metrics().registry(), node::dump, () -> !node.draining());
         StatusEndpoints.PATHS.forEach(path -> router.get(path).handler(ctx -> status.handle(ctx.request())));
         HttpServer server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -67,6 +67,19 @@
         return new Dispatcher(client, control, metrics, ReadBarrier.of(context));
     }
 
+    /**
+     * Submits a request to the control thread after the connections have been read once more, unless its caller has
+     * left by then: it would occupy a target or a place in the queue that others are refused for. Must be called on
+     * the request's traffic context.
+     */
+    public void submit(InFlightRequest f) {
+        reads.afterRead(() -> {
+            if (!f.lifecycle.done()) {
+                control.submit(f);
+            }
+        });
+    }
+
     /** Sends a request to an engine. Must be called on the request's traffic context. */
     public void dispatch(InFlightRequest f, EngineInfo engine) {
         if (!f.lifecycle.tryFire("dispatch")) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/http/CallerApi.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/http/CallerApi.java
@@ -21,7 +21,6 @@
 import org.onyxhinge.router.RequestIdGenerator;
 import org.onyxhinge.router.RouterMetrics;
 import org.onyxhinge.router.dispatch.CallerResponses;
-import org.onyxhinge.router.dispatch.ControlPlane;
 import org.onyxhinge.router.dispatch.Dispatcher;
 import org.onyxhinge.router.dispatch.InFlightRequest;
 
@@ -36,7 +35,6 @@
 
     private final Context trafficContext;
     private final Dispatcher dispatcher;
-    private final ControlPlane control;
     private final RouterMetrics metrics;
     private final Supplier<ClusterConfig> config;
     private final BooleanSupplier draining;
@@ -45,14 +43,12 @@
     private CallerApi(
             Context trafficContext,
             Dispatcher dispatcher,
-            ControlPlane control,
             RouterMetrics metrics,
             Supplier<ClusterConfig> config,
             BooleanSupplier draining,
             RequestIdGenerator requestIds) {
         this.trafficContext = trafficContext;
         this.dispatcher = dispatcher;
-        this.control = control;
         this.metrics = metrics;
         this.config = config;
         this.draining = draining;
@@ -62,14 +58,12 @@
     /**
      * The parts of the router that the routes depend on.
      *
-     * @param control interface to the control thread
      * @param metrics metrics of the router
      * @param config supplier of the configuration in force
      * @param draining true once a planned stop has begun
      * @param requestIds generator of request ids
      */
     public record Dependencies(
-            ControlPlane control,
             RouterMetrics metrics,
             Supplier<ClusterConfig> config,
             BooleanSupplier draining,
@@ -81,7 +75,6 @@
         CallerApi api = new CallerApi(
                 trafficContext,
                 dispatcher,
-                dependencies.control(),
                 dependencies.metrics(),
                 dependencies.config(),
                 dependencies.draining(),
@@ -115,7 +108,7 @@
         InFlightRequest f = InFlightRequest.create(
                 dispatcher, validated.get(), parsed.get(), ctx.request(), trafficContext, arrivedNs);
         ctx.response().closeHandler(v -> dispatcher.callerDisconnected(f));
-        control.submit(f);
+        dispatcher.submit(f);
     }
 
     private Either<Refusal, RequestSpec> validate(String requestId, CallerRequest r, long nowMs) {
