Requests of callers that have left are not charged or placed by a late router

What callers saw: a router that stood still for 1.5 s finds 40 requests, the ends of their connections and one request of a caller that waits. The waiting caller is refused (429) because the 40 have taken the workspace's allowance in the same turn of the event loop; they give it back a moment later. Slots of targets were reserved for them the same way.

Change: an accepted request is offered to the start scheduler after the connections have been read once more, unless it has ended by then. Each request waits for itself, since new connections are read over several turns.

Test: LateRouterTest$CallersLeaveDuringThePause#requestsOfOthersAreServed, red before (429), green after with bodies of 0, 1,000 and 64,000 bytes.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -98,7 +98,14 @@
         CallPlan plan = CallPlan.of(check, arrivedAtMs, unreadMs, waitedBeforeMs);
         exchange.planned(plan);
         exchange.startDeadline();
-        forwarder.startScheduler().offer(exchange, plan);
+        forwarder.reads().afterRead(() -> offer(plan));
+    }
+
+    /** Lets the request start unless its caller has left, so that no other is refused in its favour. */
+    private void offer(CallPlan plan) {
+        if (!end.finished()) {
+            forwarder.startScheduler().offer(exchange, plan);
+        }
     }
 
     /** Reads the request's body; the request is placed once it is complete. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -120,6 +120,10 @@
 
     /** Starts a router with targets that answer in a given way. */
     private void start(int targets, int slots, io.vertx.core.Handler<HttpServerRequest> onRequest) {
+        start(targets, slots, "", onRequest);
+    }
+
+    private void start(int targets, int slots, String workspace, io.vertx.core.Handler<HttpServerRequest> onRequest) {
         StringBuilder text = new StringBuilder(String.join(
                 "\n",
                 "[router]",
@@ -143,6 +147,7 @@
                 "max_connections = 1000",
                 "[workspace agency]",
                 "api_keys = k1",
+                workspace,
                 ""));
         for (int i = 1; i <= targets; i++) {
             int targetPort = Launch.await(
@@ -297,6 +302,23 @@
             assertThat(reachedLate(), is(0L));
         }
 
+        /** Guards against callers that are refused because of requests, read together with theirs, of others that left. */
+        @ParameterizedTest
+        @ValueSource(ints = {0, 1_000, 64_000})
+        void requestsOfOthersAreServed(int bodyBytes) throws Exception {
+            start(8, 100, "quota_per_second = 1\nquota_burst = " + CALLERS / 2, LateRouterTest::answer);
+            pauseRouter(PAUSE_MS);
+            connectCallers();
+            for (Caller caller : callers) {
+                caller.send(bodyBytes);
+            }
+            leaveAll();
+            Caller staying = new Caller(CALLERS);
+            callers.add(staying);
+            staying.send(4);
+            assertThat(staying.readResponse(), equalTo(200));
+        }
+
         /** Guards against retries that are sent before the end of the caller's connection is read. */
         @Test
         void callsThatTheirFirstTargetFailsAreNotSentAgain() throws Exception {
