The additional read before a request starts is made only while the loop is late

Change: ExchangeIntake waits only if EventLoopDelay says that the loop is late or was when it was last measured; a router in time starts requests in the turn in which they were read, as before.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/EventLoopDelay.java
@@ -60,6 +60,11 @@
         return Math.max(unreadMs, nowMs - dueAtMs);
     }
 
+    /** Whether the loop is late, or was when it was measured last. Called on the event loop. */
+    boolean isLate(long nowMs) {
+        return delayMs(nowMs) >= INTERVAL_MS;
+    }
+
     /** The longest delay since the last call of this method. Called on the event loop. */
     long takeMaxDelayMs() {
         long max = maxDelayMs;
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ExchangeIntake.java
@@ -98,11 +98,15 @@
         CallPlan plan = CallPlan.of(check, arrivedAtMs, unreadMs, waitedBeforeMs);
         exchange.planned(plan);
         exchange.startDeadline();
-        forwarder.reads().afterRead(() -> offer(plan));
+        if (forwarder.loopDelay().isLate(MonotonicClock.nowMs())) {
+            forwarder.reads().afterRead(() -> offerUnlessLeft(plan));
+        } else {
+            forwarder.startScheduler().offer(exchange, plan);
+        }
     }
 
-    /** Lets the request start unless its caller has left, so that no other is refused in its favour. */
-    private void offer(CallPlan plan) {
+    /** Offers a request of a caller that may have left, since others would be refused in its favour. */
+    private void offerUnlessLeft(CallPlan plan) {
         if (!end.finished()) {
             forwarder.startScheduler().offer(exchange, plan);
         }
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/LateRouterTest.java
@@ -41,6 +41,8 @@
 
     private static final long TIMEOUT_MS = 20_000;
     private static final int CALLERS = 40;
+    /** More than a router accepts in the first turn after a pause. */
+    private static final int MANY_CALLERS = 200;
     /** Callers are patient for less than the router's pause. */
     private static final long PATIENCE_MS = 500;
 
@@ -308,12 +310,12 @@
         void requestsOfOthersAreServed(int bodyBytes) throws Exception {
             start(8, 100, "quota_per_second = 1\nquota_burst = " + CALLERS / 2, LateRouterTest::answer);
             pauseRouter(PAUSE_MS);
-            connectCallers();
-            for (Caller caller : callers) {
+            for (int i = 0; i < MANY_CALLERS; i++) {
+                Caller caller = new Caller(i);
                 caller.send(bodyBytes);
+                caller.leave();
             }
-            leaveAll();
-            Caller staying = new Caller(CALLERS);
+            Caller staying = new Caller(MANY_CALLERS);
             callers.add(staying);
             staying.send(4);
             assertThat(staying.readResponse(), equalTo(200));
