A version without an order serves at once when no other one can

What callers would see: a service whose targets are replaced by ones of another version, without an order, answers every call with 503 for the first second, also when the targets of the earlier version have gone.

Cause: an unordered version is held for a second "while other versions serve"; whether one serves was taken from the number of versions ever seen, those that are gone, replaced or rolled back included.

Change: it is held only if another version, seen for longer, is neither replaced nor rolled back and has ready targets.

Test: RolloutPhaseTest$Roles, two cases red before (withheld), green after; the hold beside a version that serves stays tested.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/rollout/ServiceVersions.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.core.place.TargetRole;
@@ -12,8 +13,8 @@
 public final class ServiceVersions {
 
     /**
-     * How long a version that appears without an order gets no calls while other versions serve: the order may be read
-     * after the first registration.
+     * How long a version that appears without an order gets no calls while another version serves: the order may be
+     * read after the first registration.
      */
     private static final long UNORDERED_HOLD_MS = 1_000;
 
@@ -81,8 +82,12 @@
         }
     }
 
-    /** Which calls the targets with a version get. */
-    public TargetRole roleOf(String version, long nowMs) {
+    /**
+     * Which calls the targets with a version get.
+     *
+     * @param hasTargets whether a version has targets that could serve
+     */
+    public TargetRole roleOf(String version, Predicate<String> hasTargets, long nowMs) {
         if (rejected.contains(version) || replaced.contains(version)) {
             return TargetRole.WITHHELD;
         }
@@ -94,12 +99,25 @@
             return ordered ? TargetRole.SERVING : TargetRole.REPLACED;
         }
         boolean current = rollout.map(r -> version.equals(r.order().version())).orElse(false);
-        boolean held = !current
-                && firstSeenAtMs.size() > 1
-                && nowMs - firstSeenAtMs.getOrDefault(version, nowMs - UNORDERED_HOLD_MS) < UNORDERED_HOLD_MS;
+        boolean held =
+                !current && isNew(firstSeenAtMs.get(version), nowMs) && anotherServes(version, hasTargets, nowMs);
         return held ? TargetRole.WITHHELD : TargetRole.SERVING;
     }
 
+    private static boolean isNew(Long seenAtMs, long nowMs) {
+        return seenAtMs != null && nowMs - seenAtMs < UNORDERED_HOLD_MS;
+    }
+
+    private boolean anotherServes(String version, Predicate<String> hasTargets, long nowMs) {
+        return firstSeenAtMs.entrySet().stream()
+                .filter(e -> !isNew(e.getValue(), nowMs))
+                .map(Map.Entry::getKey)
+                .anyMatch(other -> !other.equals(version)
+                        && !rejected.contains(other)
+                        && !replaced.contains(other)
+                        && hasTargets.test(other));
+    }
+
     /** Whether a role may change with time alone. */
     public boolean changesWithTime(long nowMs) {
         return firstSeenAtMs.size() > 1
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/rollout/RolloutPhaseTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/rollout/RolloutPhaseTest.java
@@ -1,5 +1,8 @@
 package org.onyxhinge.core.rollout;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.core.place.TargetRole;
@@ -14,6 +17,7 @@
     private static final long NOW_MS = 100_000;
 
     private final ServiceVersions versions = new ServiceVersions();
+    private final Set<String> withTargets = new HashSet<>(Set.of("v0", "v1", "v2", "v3"));
 
     private Rollout start(String version, long id) {
         Rollout rollout = Rollout.start(new RolloutOrder("writers", version, 10_000, id), LIMITS, 4, NOW_MS);
@@ -27,7 +31,7 @@
     }
 
     private TargetRole roleOf(String version) {
-        return versions.roleOf(version, NOW_MS);
+        return versions.roleOf(version, withTargets::contains, NOW_MS);
     }
 
     @Nested
@@ -111,10 +115,30 @@
             versions.seen("v1", true, NOW_MS);
             versions.seen("v2", false, NOW_MS);
             assertThat(roleOf("v2"), is(TargetRole.WITHHELD));
-            assertThat(versions.roleOf("v2", NOW_MS + 1_000), is(TargetRole.SERVING));
+            assertThat(versions.roleOf("v2", withTargets::contains, NOW_MS + 1_000), is(TargetRole.SERVING));
             assertThat(roleOf("v1"), is(TargetRole.SERVING));
         }
 
+        /** Guards against a service that refuses all calls because a version that has no targets served before. */
+        @Test
+        void ofAVersionWithoutAnOrderServeAtOnceIfNoOtherHasTargets() {
+            versions.seen("v1", true, NOW_MS);
+            versions.seen("v2", false, NOW_MS);
+            withTargets.remove("v1");
+            assertThat(roleOf("v2"), is(TargetRole.SERVING));
+        }
+
+        /** Guards against the same because of versions that get no calls themselves. */
+        @Test
+        void ofAVersionWithoutAnOrderServeAtOnceIfNoOtherServes() {
+            versions.seen("v0", true, NOW_MS);
+            versions.seen("v1", true, NOW_MS);
+            advance(start("v1", 1), RolloutPhase.COMPLETED);
+            advance(start("v1", 2), RolloutPhase.ROLLED_BACK);
+            versions.seen("v2", false, NOW_MS);
+            assertThat(roleOf("v2"), is(TargetRole.SERVING));
+        }
+
         /** Guards against a superseded version that is taken for one in use. */
         @Test
         void ofAVersionWhoseOrderWasReplacedAreWithheld() {
--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/rollout/ServiceVersionsTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/rollout/ServiceVersionsTest.java
@@ -20,7 +20,7 @@
         versions.seen(STAYS, true, 0);
         for (int i = 0; i < 3 * ServiceVersions.MAX_VERSIONS; i++) {
             versions.seen("version-" + i, false, i * SECOND_MS);
-            versions.roleOf(STAYS, i * SECOND_MS);
+            versions.roleOf(STAYS, v -> true, i * SECOND_MS);
         }
     }
 
@@ -37,7 +37,7 @@
     void aBoundedNumberIsKept() {
         comeAndGo();
         assertThat(versions.size(), is(lessThanOrEqualTo(ServiceVersions.MAX_VERSIONS)));
-        assertThat(versions.roleOf(STAYS, 0), is(TargetRole.SERVING));
+        assertThat(versions.roleOf(STAYS, v -> true, 0), is(TargetRole.SERVING));
     }
 
     /** Guards against a version that serves on beside the one that replaced it. */
@@ -46,8 +46,8 @@
         comeAndGo();
         versions.seen("next", false, 0);
         rollOut("next", 1, RolloutPhase.COMPLETED);
-        assertThat(versions.roleOf(STAYS, 0), is(TargetRole.WITHHELD));
-        assertThat(versions.roleOf("next", 0), is(TargetRole.SERVING));
+        assertThat(versions.roleOf(STAYS, v -> true, 0), is(TargetRole.WITHHELD));
+        assertThat(versions.roleOf("next", v -> true, 0), is(TargetRole.SERVING));
     }
 
     @Test
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Rollouts.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
@@ -99,7 +100,9 @@
     }
 
     private void applyRoles(ServiceRollout s) {
-        placement.versionRoles(s.service(), version -> s.versions().roleOf(version, MonotonicClock.nowMs()));
+        Predicate<String> hasTargets = version -> placement.targetCount(s.service(), version) > 0;
+        placement.versionRoles(
+                s.service(), version -> s.versions().roleOf(version, hasTargets, MonotonicClock.nowMs()));
         forwarder.pumpSoon();
     }
 
