A call's log line tells how old the list of targets was when it was sent

For the incident: nothing told how old what a router knew of a target was, nor by which way it had been read. targetListAgeMs and targetListBy stand in the line of each call and in the state dump; a change of the way is logged. Why a read failed is logged already, by the reader of the key and by the watch.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AttemptResults.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AttemptResults.java
@@ -97,6 +97,8 @@
         String version = target.info().version();
         logEntry.target = target.info().id();
         logEntry.targetVersion = version;
+        logEntry.targetListAgeMs = forwarder.targets().listProof().ageMs();
+        logEntry.targetListBy = forwarder.targets().listProof().way();
         stream.sentTo(version);
         forwarder.streamOrigins().sending(plan(), exchange.request(), version);
     }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallLogEntry.java
@@ -47,6 +47,11 @@
     /** Age of the configuration's confirmation when the call was checked; -1 if it was not checked. */
     long confirmationAgeMs = -1;
 
+    /** Age of the list of targets when the call was last sent, and by which way it was read; -1 if it was not sent. */
+    long targetListAgeMs = -1;
+
+    String targetListBy = "";
+
     /** Rate limit in requests per second that the target reported; -1 if none. */
     double limitPerSecond = -1;
 
@@ -182,7 +187,8 @@
                         + " limitPerSecond=%s targetLeaving=%b targetRetryAfterMs=%d sends=%d"
                         + " responseId=%s connection=%d connectionCalls=%d skipped=%d skippedIds=\"%s\""
                         + " unreadMs=%d sentAfterMs=%d firstByteMs=%d longestGapMs=%d tookMs=%d"
-                        + " config=%d proofAgeMs=%d scheduledRetryMs=%d moves=\"%s\" troubles=\"%s\"",
+                        + " config=%d proofAgeMs=%d targetListAgeMs=%d targetListBy=%s"
+                        + " scheduledRetryMs=%d moves=\"%s\" troubles=\"%s\"",
                 requestId,
                 fingerprint,
                 outcome,
@@ -218,6 +224,8 @@
                 tookMs,
                 configVersion,
                 confirmationAgeMs,
+                targetListAgeMs,
+                targetListBy,
                 scheduledRetryMs,
                 moves,
                 troubles);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -158,7 +158,8 @@
                 f.crashQuarantine,
                 f.streamOrigins,
                 f::pumpSoon,
-                settings.leavingHoldMs());
+                settings.leavingHoldMs(),
+                new TargetListProof(freshness));
         f.rolloutRecords = new RolloutRecords(f.context, f.rollouts);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
@@ -26,6 +26,8 @@
                 .put("waiting", new JsonObject(new HashMap<>(placement.waitingByService())))
                 .put("workspaceUseMs", workspaceUse(placement))
                 .put("shortCalls", shortCalls(placement))
+                .put("targetListAgeMs", f.targets().listProof().ageMs())
+                .put("targetListBy", f.targets().listProof().way())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", f.connections().openCount())
                 .put("targetConnectionsOpened", f.connections().opened())
--- /dev/null
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
@@ -0,0 +1,59 @@
+package org.onyxhinge.router.forward;
+
+import java.util.Locale;
+
+import org.jboss.logging.Logger;
+
+/**
+ * Up to when the list of targets is known to be that of the registry, and by which way. Written on the
+ * event loop, behind the changes that were read with it; readable from any thread.
+ */
+public final class TargetListProof {
+
+    private static final Logger LOG = Logger.getLogger(TargetListProof.class);
+
+    private final ConfigFreshness freshness;
+    private volatile Proof latest = new Proof(ConfigFreshness.NEVER_CONFIRMED_MS, Way.NONE);
+
+    /** How the list is read. */
+    public enum Way {
+        /** Not at all: it is not read from a registry, or has not been read yet. */
+        NONE,
+        /** By the watch of all keys. */
+        WATCH
+    }
+
+    /**
+     * A proof.
+     *
+     * @param atMs up to when, by the suspend-aware clock
+     * @param way how it came
+     */
+    private record Proof(long atMs, Way way) {}
+
+    TargetListProof(ConfigFreshness freshness) {
+        this.freshness = freshness;
+    }
+
+    /** Records that the list is complete up to a time. */
+    void proved(long atMs, Way way) {
+        if (way != latest.way()) {
+            LOG.infof("targets read by=%s before=%s ageMs=%d", text(way), text(latest.way()), ageMs());
+        }
+        latest = new Proof(Math.max(latest.atMs(), atMs), way);
+    }
+
+    /** Time since the list was proved; -1 if it never was. */
+    long ageMs() {
+        return freshness.ageMs(latest.atMs());
+    }
+
+    /** The way of the last proof, for logs. */
+    String way() {
+        return text(latest.way());
+    }
+
+    private static String text(Way way) {
+        return way.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -33,6 +33,8 @@
 
     private final LapsedTargets lapsed = LapsedTargets.create();
 
+    private final TargetListProof listProof;
+
     /**
      * Creates a registry without targets.
      *
@@ -46,7 +48,9 @@
             CrashQuarantine crashQuarantine,
             StreamOrigins streamOrigins,
             Runnable onChange,
-            long leavingHoldMs) {
+            long leavingHoldMs,
+            TargetListProof listProof) {
+        this.listProof = listProof;
         this.context = context;
         this.placement = placement;
         this.rollouts = rollouts;
@@ -96,6 +100,19 @@
         context.runOnContext(v -> streamOrigins.listConfirmed(sentAtMs));
     }
 
+    /**
+     * Records that the list is complete up to a time, by the suspend-aware clock, and that everything read with it has
+     * been passed on.
+     */
+    public void listProved(long atMs, TargetListProof.Way way) {
+        context.runOnContext(v -> listProof.proved(atMs, way));
+    }
+
+    /** Up to when the list of targets is known to be complete. */
+    TargetListProof listProof() {
+        return listProof;
+    }
+
     /** Records that the targets passed on are all that there are, until others are. */
     public void listAuthoritative() {
         context.runOnContext(v -> streamOrigins.listAuthoritative());
