One failed read of the configuration decides no call

Cause: CallsAwaitingConfig took one failed read for an outage of the store. It released all calls that waited, and until a later read succeeded no call waited any more. Reads were also made one at a time, each with 600 ms, so a lost answer put all off.

Change: AwaitedProof. Calls wait for a confirmation up to 1 s, as before; only if reads have failed and none has succeeded in that time the next ones do not wait.

OutdatedVerdictTest#oneRefusedReadDecidesNothing failed before (503 for a route that is there) and passes.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsAwaitingConfig.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CallsAwaitingConfig.java
@@ -1,7 +1,9 @@
 package org.onyxhinge.router.forward;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import io.vertx.core.Vertx;
@@ -19,27 +21,21 @@
      */
     private static final long FIRST_WAIT_MS = 600;
 
-    /**
-     * How long calls wait for a confirmation. Only a long configuration, or a router that lacks processor time, takes
-     * as long: a read that the store does not answer is given up before.
-     */
-    private static final long CONFIRMATION_WAIT_MS = 1_000;
-
     private final Vertx vertx;
     private final ReadBarrier reads;
     private final Set<Exchange> unconfigured = new LinkedHashSet<>();
-    private final Set<Exchange> unconfirmed = new LinkedHashSet<>();
-    private Runnable askForConfirmation = () -> {};
-    private boolean confirmationExpected = true;
+    private final AwaitedProof confirmation;
+    private final Map<Exchange, Runnable> unconfirmed = new HashMap<>();
 
     CallsAwaitingConfig(Vertx vertx, ReadBarrier reads) {
         this.vertx = vertx;
         this.reads = reads;
+        this.confirmation = new AwaitedProof(vertx, reads);
     }
 
-    /** Sets what asks for a newer confirmation of the configuration in force. */
-    void askBy(Runnable ask) {
-        askForConfirmation = ask;
+    /** What waits for a newer confirmation. */
+    AwaitedProof confirmation() {
+        return confirmation;
     }
 
     /** Holds a call that arrived before the first configuration. */
@@ -60,45 +56,30 @@
      * @return false if no confirmation is to be expected now
      */
     boolean holdUntilConfirmed(Exchange exchange) {
-        askForConfirmation.run();
-        if (!confirmationExpected) {
-            return false;
+        Runnable checkAgain = () -> {
+            unconfirmed.remove(exchange);
+            exchange.check();
+        };
+        boolean held = confirmation.await(checkAgain);
+        if (held) {
+            unconfirmed.put(exchange, checkAgain);
         }
-        unconfirmed.add(exchange);
-        vertx.setTimer(
-                CONFIRMATION_WAIT_MS,
-                t -> reads.afterRead(() -> {
-                    if (unconfirmed.remove(exchange)) {
-                        exchange.check();
-                    }
-                }));
-        return true;
+        return held;
     }
 
     /** A configuration is in force. */
     void configured() {
-        release(unconfigured);
-    }
-
-    /**
-     * An attempt to confirm the configuration has ended.
-     *
-     * @param successful whether it is confirmed now
-     */
-    void confirmationTried(boolean successful) {
-        confirmationExpected = successful;
-        release(unconfirmed);
-    }
-
-    private static void release(Set<Exchange> held) {
-        List<Exchange> released = List.copyOf(held);
-        held.clear();
+        List<Exchange> released = List.copyOf(unconfigured);
+        unconfigured.clear();
         released.forEach(Exchange::check);
     }
 
     /** Removes a call that has ended. */
     void remove(Exchange exchange) {
         unconfigured.remove(exchange);
-        unconfirmed.remove(exchange);
+        Runnable checkAgain = unconfirmed.remove(exchange);
+        if (checkAgain != null) {
+            confirmation.remove(checkAgain);
+        }
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -254,21 +254,25 @@
      * @param askedAtMs when the confirming read was sent, by the suspend-aware clock
      */
     public void confirmed(long askedAtMs) {
-        boolean confirmed = config.confirmed(askedAtMs);
         // A confirmation by a read that took long is too old for the calls that wait; another read is under way.
-        if (!confirmed || freshness.isCurrent(askedAtMs)) {
-            context.runOnContext(v -> awaitingConfig.confirmationTried(confirmed));
+        if (config.confirmed(askedAtMs) && freshness.isCurrent(askedAtMs)) {
+            context.runOnContext(v -> awaitingConfig.confirmation().proved());
         }
     }
 
-    /** Records that the store could not be asked for the newest configuration, or holds one that is not in force. */
+    /** Records that a read that could have confirmed the active configuration has failed. */
+    public void confirmationFailed() {
+        context.runOnContext(v -> awaitingConfig.confirmation().readFailed());
+    }
+
+    /** Records that nothing is left that could tell whether the active configuration is the newest. */
     public void unconfirmed() {
-        context.runOnContext(v -> awaitingConfig.confirmationTried(false));
+        context.runOnContext(v -> awaitingConfig.confirmation().impossible());
     }
 
-    /** Sets what asks the store for the newest configuration; {@code ask} may be run on any thread, and often. */
+    /** Sets what asks for the newest configuration; {@code ask} may be run on any thread, and often. */
     public void confirmBy(Runnable ask) {
-        context.runOnContext(v -> awaitingConfig.askBy(ask));
+        context.runOnContext(v -> awaitingConfig.confirmation().askBy(ask));
     }
 
     /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
@@ -28,6 +28,7 @@
                 .put("shortCalls", shortCalls(placement))
                 .put("targetListAgeMs", f.targets().listProof().ageMs())
                 .put("targetListBy", f.targets().listProof().way())
+                .put("callsAwaitingConfig", f.awaitingConfig().confirmation().waitingCount())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", f.connections().openCount())
                 .put("targetConnectionsOpened", f.connections().opened())
