The list of targets has a bound of its age and a second way

Cause: registrations came by the watch alone, and a call was sent by whatever list there was, however old.

Change: while the watch is late, the registrations are read on their own, as the configuration is. KvMirror takes a range that is ahead of the watch: a change or deletion counts by its revision, whichever way it comes.

Calls wait up to 600 ms for a proof if reads have failed, and up to 1 s if none has: with 1 s, an outage of the store kept slots taken for as long.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -103,20 +103,22 @@
     }
 
     /**
-     * Sends the call on a connection, unless its caller turns out to have left. If the connection was in the pool and
-     * turns out to be closed, another one is used.
+     * Sends the call on a connection, unless its caller turns out to have left, or its target. If the connection was in
+     * the pool and turns out to be closed, another one is used.
      */
     private void connected(TargetConnection c, int maxIdleConnections) {
-        forwarder.reads().afterRead(() -> {
-            if (!c.isClosed() || ended) {
-                sendOn(c);
-            } else if (c.calls() > 0 && !replaced) {
-                replaced = true;
-                run(maxIdleConnections);
-            } else {
-                endNotSent("connection closed before the call was sent");
-            }
-        });
+        forwarder
+                .targets()
+                .whenListCurrent(() -> forwarder.reads().afterRead(() -> {
+                    if (!c.isClosed() || ended) {
+                        sendOn(c);
+                    } else if (c.calls() > 0 && !replaced) {
+                        replaced = true;
+                        run(maxIdleConnections);
+                    } else {
+                        endNotSent("connection closed before the call was sent");
+                    }
+                }));
     }
 
     private void sendOn(TargetConnection c) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AwaitedProof.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/AwaitedProof.java
@@ -16,11 +16,13 @@
 final class AwaitedProof {
 
     /**
-     * Enough for some reads, of which each may be refused or lost, for several routers to be asked, and for a long
-     * configuration or a router that lacks processor time. All ways have been tried before, as they begin before the
-     * proof is too old.
+     * Enough for some reads, of which each may be refused or lost, and for several routers to be asked. All ways have
+     * been tried before, as they begin before the proof is too old.
      */
-    private static final long MAX_WAIT_MS = 1_000;
+    private static final long MAX_WAIT_MS = 600;
+
+    /** As long takes only a long configuration, or a router that lacks processor time. */
+    private static final long MAX_WAIT_WITHOUT_FAILURE_MS = 1_000;
 
     /** Between two requests for a proof that nothing waits for. */
     private static final long ASK_INTERVAL_MS = 500;
@@ -36,6 +38,7 @@
     /** Whether reads have failed since the last proof. */
     private boolean readsFailed;
 
+    private long waitingSinceMs;
     /** Negative while nothing waits. */
     private long timerId = -1;
 
@@ -65,17 +68,28 @@
         }
         waiting.add(action);
         if (timerId < 0) {
-            timerId = vertx.setTimer(MAX_WAIT_MS, t -> reads.afterRead(() -> expire(t)));
+            waitingSinceMs = nowMs;
+            expireAfter(MAX_WAIT_MS);
         }
         return true;
     }
 
-    private void expire(long expiredTimerId) {
-        if (timerId != expiredTimerId) {
-            return;
-        }
+    private void expireAfter(long delayMs) {
+        timerId = vertx.setTimer(
+                delayMs,
+                t -> reads.afterRead(() -> {
+                    if (timerId == t) {
+                        expire();
+                    }
+                }));
+    }
+
+    private void expire() {
+        long restMs = MAX_WAIT_WITHOUT_FAILURE_MS - (MonotonicClock.nowMs() - waitingSinceMs);
         if (readsFailed) {
             impossible();
+        } else if (restMs > 0) {
+            expireAfter(restMs);
         } else {
             release();
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -151,6 +151,7 @@
         f.awaitingConfig = new CallsAwaitingConfig(vertx, f.reads);
         f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
         f.waiting = new WaitingExchanges(vertx, f.context, f.reads, f.placement);
+        TargetListProof listProof = new TargetListProof(freshness);
         f.targets = new TargetRegistry(
                 f.context,
                 f.placement,
@@ -159,7 +160,8 @@
                 f.streamOrigins,
                 f::pumpSoon,
                 settings.leavingHoldMs(),
-                new TargetListProof(freshness));
+                listProof,
+                new AwaitedProof(vertx, f.reads));
         f.rolloutRecords = new RolloutRecords(f.context, f.rollouts);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
@@ -265,6 +267,11 @@
         context.runOnContext(v -> awaitingConfig.confirmation().readFailed());
     }
 
+    /** Records that a read that could have shown the list of targets to be complete has failed. */
+    public void targetListReadFailed() {
+        context.runOnContext(v -> targets.awaitedList().readFailed());
+    }
+
     /** Records that nothing is left that could tell whether the active configuration is the newest. */
     public void unconfirmed() {
         context.runOnContext(v -> awaitingConfig.confirmation().impossible());
@@ -275,6 +282,11 @@
         context.runOnContext(v -> awaitingConfig.confirmation().askBy(ask));
     }
 
+    /** Sets what asks for the newest list of targets; {@code ask} may be run on any thread, and often. */
+    public void proveTargetsBy(Runnable ask) {
+        context.runOnContext(v -> targets.awaitedList().askBy(ask));
+    }
+
     /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
     public void storeRestored() {
         config.storeRestored();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
@@ -20,7 +20,9 @@
         /** Not at all: it is not read from a registry, or has not been read yet. */
         NONE,
         /** By the watch of all keys. */
-        WATCH
+        WATCH,
+        /** By a read of the registrations alone. */
+        READ
     }
 
     /**
@@ -56,4 +58,9 @@
     private static String text(Way way) {
         return way.name().toLowerCase(Locale.ROOT);
     }
+
+    /** True while each target that has left as long ago as calls may still reach it is known to have left. */
+    boolean isCurrent() {
+        return freshness.isTargetListCurrent(latest.atMs());
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -32,8 +32,8 @@
     private final Map<String, Long> leavingUntilMs = new HashMap<>();
 
     private final LapsedTargets lapsed = LapsedTargets.create();
-
     private final TargetListProof listProof;
+    private final AwaitedProof awaitedList;
 
     /**
      * Creates a registry without targets.
@@ -49,8 +49,10 @@
             StreamOrigins streamOrigins,
             Runnable onChange,
             long leavingHoldMs,
-            TargetListProof listProof) {
+            TargetListProof listProof,
+            AwaitedProof awaitedList) {
         this.listProof = listProof;
+        this.awaitedList = awaitedList;
         this.context = context;
         this.placement = placement;
         this.rollouts = rollouts;
@@ -88,24 +90,32 @@
      * again.
      */
     public void lapsed(String id) {
-        context.runOnContext(v -> lapsed.lapsed(id, MonotonicClock.nowMs()));
+        context.runOnContext(v -> {
+            lapsed.lapsed(id, MonotonicClock.nowMs());
+        });
     }
 
     /**
-     * Records that the complete answer to a read of the registry has been passed on.
-     *
-     * @param sentAtMs when the read was sent, by the suspend-aware clock
+     * Records that the list is complete up to a time, by the suspend-aware clock, and that everything read with it has
+     * been passed on.
      */
-    public void readConfirmed(long sentAtMs) {
-        context.runOnContext(v -> streamOrigins.listConfirmed(sentAtMs));
+    public void listProved(long atMs, TargetListProof.Way way) {
+        context.runOnContext(v -> {
+            listProof.proved(atMs, way);
+            if (listProof.isCurrent()) {
+                awaitedList.proved();
+            }
+        });
     }
 
     /**
-     * Records that the list is complete up to a time, by the suspend-aware clock, and that everything read with it has
-     * been passed on.
+     * Runs an action once the list of targets shows which of them no call may reach any more, at once if it does; or
+     * once nothing can tell.
      */
-    public void listProved(long atMs, TargetListProof.Way way) {
-        context.runOnContext(v -> listProof.proved(atMs, way));
+    void whenListCurrent(Runnable action) {
+        if (listProof.isCurrent() || !awaitedList.await(action)) {
+            action.run();
+        }
     }
 
     /** Up to when the list of targets is known to be complete. */
@@ -113,6 +123,20 @@
         return listProof;
     }
 
+    /** What waits for a newer list. */
+    AwaitedProof awaitedList() {
+        return awaitedList;
+    }
+
+    /**
+     * Records that the complete answer to a read of the registry has been passed on.
+     *
+     * @param sentAtMs when the read was sent, by the suspend-aware clock
+     */
+    public void readConfirmed(long sentAtMs) {
+        context.runOnContext(v -> streamOrigins.listConfirmed(sentAtMs));
+    }
+
     /** Records that the targets passed on are all that there are, until others are. */
     public void listAuthoritative() {
         context.runOnContext(v -> streamOrigins.listAuthoritative());
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -41,15 +42,20 @@
     private final KvStore kv;
     private final String prefix;
     private final Listener listener;
-    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, KvEntry> entries = new HashMap<>();
     /** Keys that were lost in a restore and not written again yet. */
     private final Set<String> missing = new HashSet<>();
-    /** Keys that were deleted; the one deleted last comes last. */
-    private final Map<String, Boolean> deleted = BoundedMap.dropOldest(MAX_DELETED);
+    /** Keys that were deleted, with a revision at which they were; the one deleted last comes last. */
+    private final Map<String, Long> deleted = BoundedMap.dropOldest(MAX_DELETED);
 
     private final Promise<Long> firstLoad = Promise.promise();
     private final Loop loop;
     private long epoch;
+    /** All changes up to this revision have been reported. */
+    private long completeTo;
+    /** Deletions up to this revision may have been forgotten, or were never seen. */
+    private long deletionsUnknownTo;
+
     private int failedLoads;
 
     /** Receives the changes. */
@@ -105,15 +111,47 @@
     public boolean take(String key, KvMessage.Reply reply) {
         Optional<KvEntry> read =
                 reply.entries().stream().filter(e -> e.key().equals(key)).findFirst();
-        if (read.isEmpty()
-                || !firstLoad.future().isComplete()
-                || KvRevision.epoch(reply.revision()) != epoch
-                || deleted.containsKey(key)) {
+        return read.isPresent()
+                && isOfThisEpoch(reply.revision())
+                && put(read.get())
+                && !deleted.containsKey(key)
+                && entries.get(key).modRevision() == read.get().modRevision();
+    }
+
+    /**
+     * Takes the reply to a read of all keys under a part of the prefix, which may be ahead of the watch; what differs
+     * is reported, without its revision being reached.
+     *
+     * @return whether the mirror is now as new as the reply. It is not if the service was restored, or if the listener
+     *     has failed to take a change
+     */
+    public boolean takeRange(String part, KvMessage.Reply reply) {
+        if (!isOfThisEpoch(reply.revision())) {
             return false;
         }
-        long knownRevision = revisions.getOrDefault(key, Long.MIN_VALUE);
-        return knownRevision == read.get().modRevision()
-                || knownRevision < read.get().modRevision() && put(read.get());
+        Set<String> present = reply.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
+        boolean taken = reply.entries().stream().allMatch(this::put);
+        return deleteAbsent(part, present, reply.revision()) && taken;
+    }
+
+    private boolean isOfThisEpoch(long revision) {
+        return firstLoad.future().isComplete() && KvRevision.epoch(revision) == epoch;
+    }
+
+    /** Deletes the keys that are missing from a read, except those that were written after it. */
+    private boolean deleteAbsent(String part, Set<String> present, long readRevision) {
+        boolean taken = true;
+        for (String key : List.copyOf(entries.keySet())) {
+            if (key.startsWith(part) && !present.contains(key) && !missing.contains(key)) {
+                taken &= deleteUnlessNewer(key, readRevision);
+            }
+        }
+        return taken;
+    }
+
+    private boolean reached(long revision) {
+        completeTo = Math.max(completeTo, revision);
+        return loop.turn(() -> listener.revisionReached(revision));
     }
 
     private void load() {
@@ -138,7 +176,10 @@
             loadLater();
         } else {
             failedLoads = 0;
+            boolean sameEpoch = isOfThisEpoch(reply.revision());
+            deletionsUnknownTo = sameEpoch ? deletionsUnknownTo : reply.revision();
             epoch = KvRevision.epoch(reply.revision());
+            completeTo = reply.revision();
             kv.watch(prefix, reply.revision(), this::applyEvent, this::load);
             firstLoad.tryComplete(reply.revision());
         }
@@ -152,7 +193,7 @@
         if (!firstRead) {
             listener.historyLost();
         }
-        Set<String> absent = new HashSet<>(revisions.keySet());
+        Set<String> absent = new HashSet<>(entries.keySet());
         reply.entries().forEach(entry -> absent.remove(entry.key()));
         if (restored) {
             LOG.warnf("kv service restored prefix=%s epoch=%d keysMissing=%d", prefix, newEpoch, absent.size());
@@ -163,7 +204,7 @@
             reply.entries().forEach(this::put);
         }
         absent.removeAll(missing);
-        absent.forEach(this::delete);
+        absent.forEach(key -> deleteUnlessNewer(key, reply.revision()));
         listener.revisionReached(reply.revision());
     }
 
@@ -173,7 +214,7 @@
         List<String> awaited = List.copyOf(lost);
         vertx.setTimer(REWRITE_MS, t -> {
             if (epoch == epochOfRestore) {
-                awaited.stream().filter(missing::remove).forEach(this::delete);
+                awaited.stream().filter(missing::remove).forEach(key -> delete(key, completeTo));
             }
         });
     }
@@ -182,46 +223,52 @@
     private void putFromCopy(KvEntry entry) {
         if (deleted.containsKey(entry.key())) {
             LOG.infof("kv entry ignored key=%s why=\"deleted before the restore\"", entry.key());
-            revisions.put(entry.key(), entry.modRevision());
+            entries.put(entry.key(), entry);
         } else {
             put(entry);
         }
     }
 
     private void applyEvent(KvMessage.Event event) {
-        boolean taken = event.deleted() ? delete(event) : put(event.entry());
-        if (!taken || !loop.turn(() -> listener.revisionReached(event.revision()))) {
+        boolean taken = event.deleted() ? deleteUnlessNewer(event.entry().key(), event.revision()) : put(event.entry());
+        if (!taken || !reached(event.revision())) {
             throw new IllegalStateException("change not taken: " + event.entry().key());
         }
     }
 
+    /** Takes an entry unless a later change of its key is known; what is read ahead of the watch comes again by it. */
     private boolean put(KvEntry entry) {
-        Long knownRevision = revisions.get(entry.key());
-        if (knownRevision != null && entry.modRevision() <= knownRevision) {
+        KvEntry known = entries.get(entry.key());
+        boolean outdated = known != null && entry.modRevision() <= known.modRevision()
+                || entry.modRevision() <= deleted.getOrDefault(entry.key(), Long.MIN_VALUE);
+        if (outdated) {
             return true;
         }
         if (!loop.turn(() -> listener.put(entry))) {
             return false;
         }
-        revisions.put(entry.key(), entry.modRevision());
+        entries.put(entry.key(), entry);
         missing.remove(entry.key());
         deleted.remove(entry.key());
         return true;
     }
 
     /** A deletion from before the known entry was written tells nothing; the entry was read ahead of the watch. */
-    private boolean delete(KvMessage.Event event) {
-        String key = event.entry().key();
-        return revisions.getOrDefault(key, Long.MIN_VALUE) > event.revision() || delete(key);
+    private boolean deleteUnlessNewer(String key, long revision) {
+        KvEntry known = entries.get(key);
+        return known != null && known.modRevision() > revision || delete(key, revision);
     }
 
-    private boolean delete(String key) {
-        boolean unreported = revisions.containsKey(key) && !deleted.containsKey(key);
+    private boolean delete(String key, long revision) {
+        boolean unreported = entries.containsKey(key) && !deleted.containsKey(key);
         if (unreported && !loop.turn(() -> listener.deleted(key))) {
             return false;
         }
-        revisions.remove(key);
-        deleted.put(key, true);
+        entries.remove(key);
+        if (deleted.size() == MAX_DELETED && !deleted.containsKey(key)) {
+            deletionsUnknownTo = Math.max(completeTo, revision);
+        }
+        deleted.merge(key, revision, Math::max);
         return true;
     }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LateWatchReader.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LateWatchReader.java
@@ -40,6 +40,11 @@
         public static Part ofKey(KvStore kv, KvMirror mirror, String key) {
             return new Part(key, () -> kv.get(key), reply -> mirror.take(key, reply));
         }
+
+        /** All keys of a mirror that begin with a prefix. */
+        public static Part ofRange(KvStore kv, KvMirror mirror, String prefix) {
+            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.takeRange(prefix, reply));
+        }
     }
 
     /** Receives the outcome of each read. */
