Routers pass on what they have read from the store

Cause: other routers knew better all the time and were not asked. After a gap of 2.4 s a router also took the removal of a target for a lapse in an outage of the store, though only itself had been refused.

Change: while its watch is late, a router asks another one at random every 100 ms for all changes since the revision that it has (StoreQuery, StoreReply). The reply holds them, with the ages of that router's proofs. A proof counts from when it was asked for less its age, so no clocks are compared and one that is passed on several times gets older each time. A mirror of another epoch proves nothing. With proofs from others there is no gap, so a removal is one.

Ruled out: routers that tell all others each change (traffic in calm, and a second way that may disagree); targets' answers without a notice of leaving as a proof (not each target gives notice).

A router of the previous version closes the link on which it gets a query; it is sent only while the watch is late.

KvMirrorTest$OtherWays, DecoderProperties: new.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -81,6 +81,7 @@
     private RecoveryRecords records;
     private RolloutRecords rolloutRecords;
     private TargetRegistry targets;
+    private RelayedProofs relayedProofs;
     private HttpServer server;
 
     private Forwarder(
@@ -152,6 +153,8 @@
         f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
         f.waiting = new WaitingExchanges(vertx, f.context, f.reads, f.placement);
         TargetListProof listProof = new TargetListProof(freshness);
+        f.relayedProofs = new RelayedProofs(
+                f.context, settings.routerId(), () -> f.peers, freshness, f.config, listProof, f.metrics);
         f.targets = new TargetRegistry(
                 f.context,
                 f.placement,
@@ -287,6 +290,24 @@
         context.runOnContext(v -> targets.awaitedList().askBy(ask));
     }
 
+    /** Sets this router's copy of the store, which other routers may ask for. */
+    public void relayBy(StoreRelay relay) {
+        relayedProofs.relayBy(relay);
+    }
+
+    /**
+     * Asks another router what it has read from the store.
+     *
+     * @param revision up to which this router has all changes
+     */
+    public void askOtherRouter(long revision) {
+        relayedProofs.ask(revision);
+    }
+
+    RelayedProofs relayedProofs() {
+        return relayedProofs;
+    }
+
     /** Records that the store was restored from a copy and may have lost what it has acknowledged. */
     public void storeRestored() {
         config.storeRestored();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/PeerDelegate.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.onyxhinge.core.place.PeerUpdate;
 import org.onyxhinge.core.place.Placement;
@@ -22,6 +23,7 @@
     private final Rollouts rollouts;
     private final RetryRecognition retryRecognition;
     private final StreamOrigins streamOrigins;
+    private final Supplier<RelayedProofs> relayedProofs;
     private final ForwardingMetrics metrics;
     private final Runnable onChange;
     private final List<PeerMessage.Usage> pendingUsage = new ArrayList<>();
@@ -40,6 +42,7 @@
         this.rollouts = forwarder.rollouts();
         this.retryRecognition = forwarder.retryRecognition();
         this.streamOrigins = forwarder.streamOrigins();
+        this.relayedProofs = forwarder::relayedProofs;
         this.metrics = forwarder.metrics();
         this.onChange = onChange;
     }
@@ -194,6 +197,16 @@
         streamOrigins.receive(reply);
     }
 
+    @Override
+    public void onStoreQuery(PeerMessage.StoreQuery query) {
+        relayedProofs.get().receive(query);
+    }
+
+    @Override
+    public void onStoreReply(PeerMessage.StoreReply reply) {
+        relayedProofs.get().receive(reply);
+    }
+
     @Override
     public void onAnswered(PeerMessage.SuspectCompleted answered) {
         crashQuarantine.receive(answered);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -127,6 +127,12 @@
         /** Called with the reply to a query of this router. */
         void onStreamOriginReply(PeerMessage.StreamOriginReply reply);
 
+        /** Called when another router asks what this one has read from the store. */
+        void onStoreQuery(PeerMessage.StoreQuery query);
+
+        /** Called with the reply to a query of this router. */
+        void onStoreReply(PeerMessage.StoreReply reply);
+
         /** Called with targets' rate limits. */
         void onTargetLimits(PeerMessage.TargetLimits limits);
 
@@ -285,6 +291,8 @@
             case PeerMessage.StreamOriginCopy c -> delegate.onStreamOrigin(c);
             case PeerMessage.StreamOriginQuery q -> delegate.onStreamOriginQuery(q);
             case PeerMessage.StreamOriginReply r -> delegate.onStreamOriginReply(r);
+            case PeerMessage.StoreQuery q -> delegate.onStoreQuery(q);
+            case PeerMessage.StoreReply r -> delegate.onStoreReply(r);
             case PeerMessage.RolloutUpdate u -> delegate.onRolloutUpdate(u);
             case PeerMessage.RolloutReport r -> delegate.onRolloutReport(r);
             default ->
@@ -374,11 +382,15 @@
 
     /** The connected routers that come first in the rendezvous order of a hash. */
     List<String> firstConnected(long hash, int count) {
-        List<String> connected = links.entrySet().stream()
+        return RendezvousOrder.first(connectedIds(), hash, count);
+    }
+
+    /** The routers that this one is connected to. */
+    List<String> connectedIds() {
+        return links.entrySet().stream()
                 .filter(e -> e.getValue().connected())
                 .map(Map.Entry::getKey)
                 .toList();
-        return RendezvousOrder.first(connected, hash, count);
     }
 
     /** Sends a message to one router; it is dropped if there is no connection. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
@@ -22,7 +22,9 @@
         /** By the watch of all keys. */
         WATCH,
         /** By a read of the registrations alone. */
-        READ
+        READ,
+        /** By another router. */
+        RELAYED
     }
 
     /**
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/RouterPeersTest.java
@@ -196,6 +196,12 @@
         @Override
         public void onStreamOriginReply(PeerMessage.StreamOriginReply reply) {}
 
+        @Override
+        public void onStoreQuery(PeerMessage.StoreQuery query) {}
+
+        @Override
+        public void onStoreReply(PeerMessage.StoreReply reply) {}
+
         @Override
         public void onRolloutUpdate(PeerMessage.RolloutUpdate update) {
             rolloutUpdates.add(update);
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -134,6 +134,50 @@
         return deleteAbsent(part, present, reply.revision()) && taken;
     }
 
+    /** The revision up to which all changes have been reported; -1 before the first read. */
+    public long completeTo() {
+        return firstLoad.future().isComplete() ? completeTo : -1;
+    }
+
+    /**
+     * What has changed since a revision, for the mirror of another client; empty if it belongs to another epoch, or if
+     * nothing has been read yet.
+     */
+    public Optional<KvChanges> changesSince(long revision) {
+        if (!isOfThisEpoch(revision)) {
+            return Optional.empty();
+        }
+        boolean whole = revision < deletionsUnknownTo;
+        List<KvEntry> changed = entries.values().stream()
+                .filter(e -> (whole || e.modRevision() > revision) && !deleted.containsKey(e.key()))
+                .toList();
+        Map<String, Long> removed = deleted.entrySet().stream()
+                .filter(e -> e.getValue() > revision && isOfThisEpoch(e.getValue()))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        return Optional.of(new KvChanges(completeTo, whole, changed, removed));
+    }
+
+    /**
+     * Takes what the mirror of another client holds.
+     *
+     * @return whether this mirror is now as new as the other one. It is not if one of them knows of a restore that the
+     *     other does not, or if the listener has failed to take a change
+     */
+    public boolean takeChanges(KvChanges changes) {
+        if (!isOfThisEpoch(changes.revision())) {
+            return false;
+        }
+        boolean taken = changes.entries().stream().allMatch(this::put);
+        for (Map.Entry<String, Long> removed : changes.deleted().entrySet()) {
+            taken &= deleteUnlessNewer(removed.getKey(), removed.getValue());
+        }
+        if (changes.whole()) {
+            Set<String> present = changes.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
+            taken &= deleteAbsent("", present, changes.revision());
+        }
+        return taken && reached(changes.revision());
+    }
+
     private boolean isOfThisEpoch(long revision) {
         return firstLoad.future().isComplete() && KvRevision.epoch(revision) == epoch;
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerCodec.java
@@ -44,6 +44,8 @@
     private static final int STREAM_ORIGIN_COPY = 20;
     private static final int STREAM_ORIGIN_QUERY = 21;
     private static final int STREAM_ORIGIN_REPLY = 22;
+    private static final int STORE_QUERY = 23;
+    private static final int STORE_REPLY = 24;
 
     private static final int MAX_PREFIXES = 4_096;
     private static final int MAX_CRASHES = 65_536;
@@ -106,6 +108,10 @@
                 StreamOriginCodec.write(writeHeader(p, STREAM_ORIGIN_QUERY, StreamOriginCodec.QUERY_FIELDS), q);
             case PeerMessage.StreamOriginReply r ->
                 StreamOriginCodec.write(writeHeader(p, STREAM_ORIGIN_REPLY, StreamOriginCodec.fields(r)), r);
+            case PeerMessage.StoreQuery q ->
+                StoreRelayCodec.write(writeHeader(p, STORE_QUERY, StoreRelayCodec.QUERY_FIELDS), q);
+            case PeerMessage.StoreReply r ->
+                StoreRelayCodec.write(writeHeader(p, STORE_REPLY, StoreRelayCodec.REPLY_FIELDS), r);
             case PeerMessage.OrderReply o ->
                 writeHeader(p, ORDER_REPLY, 3)
                         .packLong(o.orderId())
@@ -173,6 +179,8 @@
                                 ? u
                                 : requireFields(u, fields, StreamOriginCodec.COPY_FIELDS),
                         fields);
+            case STORE_QUERY -> StoreRelayCodec.readQuery(requireFields(u, fields, StoreRelayCodec.QUERY_FIELDS));
+            case STORE_REPLY -> StoreRelayCodec.readReply(requireFields(u, fields, StoreRelayCodec.REPLY_FIELDS));
             case ORDER_REPLY ->
                 new PeerMessage.OrderReply(
                         requireFields(u, fields, 3).unpackLong(),
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerMessage.java
@@ -16,6 +16,7 @@
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.schedule.LoadReport;
 import org.onyxhinge.core.share.WorkspaceShares;
+import org.onyxhinge.wire.kv.KvChanges;
 
 /**
  * Messages between routers and agents and among routers. A router connects to an agent and subscribes; after that
@@ -285,6 +286,26 @@
      */
     record StreamOriginReply(long key, Optional<StreamOrigin> origin) implements RouterToRouter {}
 
+    /**
+     * Asks for what another router has read from the key-value service, since this one cannot read it in time.
+     *
+     * @param routerId the sending router
+     * @param askId id that the reply repeats
+     * @param revision up to which the sender has all changes
+     */
+    record StoreQuery(String routerId, long askId, long revision) implements RouterToRouter {}
+
+    /**
+     * The reply to {@link StoreQuery}.
+     *
+     * @param askId id of the query
+     * @param configAgeMs time since the sender's configuration was the newest; -1 if that is not known. A relative
+     *     time, because the clocks of routers differ
+     * @param targetsAgeMs the same of its list of targets
+     * @param changes what has changed since the query's revision
+     */
+    record StoreReply(long askId, long configAgeMs, long targetsAgeMs, KvChanges changes) implements RouterToRouter {}
+
     /**
      * The phase of a rollout. A rollback is reported when it is decided, any other phase once it is recorded.
      *
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -22,7 +22,9 @@
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.core.share.WorkspaceShares;
 import org.onyxhinge.wire.frame.WireException;
+import org.onyxhinge.wire.kv.KvChanges;
 import org.onyxhinge.wire.kv.KvCodec;
+import org.onyxhinge.wire.kv.KvEntry;
 import org.onyxhinge.wire.kv.KvMessage;
 import org.onyxhinge.wire.peer.PeerCodec;
 import org.onyxhinge.wire.peer.PeerMessage;
@@ -121,6 +123,21 @@
         messages.forEach(m -> assertThat(PeerCodec.decode(PeerCodec.encode(m)), equalTo(m)));
     }
 
+    @Property(tries = 300, seed = "17")
+    void messagesAboutTheStoreRoundTrip(@ForAll @Size(max = 20) Map<String, byte[]> values, @ForAll long number) {
+        PeerMessage.StoreQuery query = new PeerMessage.StoreQuery("r1", number, number);
+        assertThat(PeerCodec.decode(PeerCodec.encode(query)), equalTo(query));
+        List<KvEntry> entries = values.entrySet().stream()
+                .map(e -> new KvEntry(e.getKey(), e.getValue(), number, number, 7))
+                .toList();
+        KvChanges changes = new KvChanges(number, number > 0, entries, Map.of("gone", number));
+        byte[] encoded = PeerCodec.encode(new PeerMessage.StoreReply(number, -1, number, changes));
+        PeerMessage.StoreReply decoded = (PeerMessage.StoreReply) PeerCodec.decode(encoded);
+        assertThat(PeerCodec.encode(decoded), equalTo(encoded));
+        assertThat(decoded.changes().entries().size(), equalTo(entries.size()));
+        assertThat(decoded.changes().deleted(), equalTo(changes.deleted()));
+    }
+
     /** Guards against routers of the previous version, which know eight fields, losing their links to this one. */
     @Example
     void usageWithoutSharesIsTheMessageOfThePreviousVersion() {
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -149,6 +149,120 @@
         }
     }
 
+    /** Guards against what is read ahead of the watch, or by another mirror, and taken back by older news. */
+    @Nested
+    class OtherWays {
+
+        private final List<String> ahead = new CopyOnWriteArrayList<>();
+        private final KvMirror mirror = KvMirror.create(vertx, store, "", new KvMirror.Listener() {
+
+            @Override
+            public void put(KvEntry entry) {
+                ahead.add(entry.key() + "=" + entry.text());
+            }
+
+            @Override
+            public void deleted(String key) {
+                ahead.add(key + " deleted");
+            }
+
+            @Override
+            public void revisionReached(long revision) {
+                // Not looked at here.
+            }
+        });
+
+        @BeforeEach
+        void start() {
+            mirror.start();
+            ahead.clear();
+        }
+
+        private KvMirror otherMirror() {
+            KvMirror other = KvMirror.create(vertx, store, "", new Recorder());
+            other.start();
+            return other;
+        }
+
+        @Test
+        void aRangeTellsWhatIsNewAndWhatIsGone() {
+            store.write("kept", "2");
+            store.remove("gone");
+            assertThat(mirror.takeRange("", store.range("").result()), is(true));
+            store.deliver();
+            assertThat(ahead, contains("kept=2", "gone deleted"));
+        }
+
+        @Test
+        void aRangeSaysNothingAboutOtherKeys() {
+            store.write("kept", "2");
+            store.remove("gone");
+            assertThat(mirror.takeRange("k", store.range("k").result()), is(true));
+            assertThat(ahead, contains("kept=2"));
+        }
+
+        @Test
+        void anOlderRangeRemovesNothing() {
+            KvMessage.Reply before = store.range("").result();
+            store.write("new", "1");
+            store.write("kept", "2");
+            store.remove("gone");
+            store.deliver();
+            ahead.clear();
+            assertThat(mirror.takeRange("", before), is(true));
+            assertThat(ahead, is(empty()));
+        }
+
+        @Test
+        void aDeletedKeyIsNotBroughtBackByTheWatch() {
+            store.write("gone", "2");
+            store.remove("gone");
+            assertThat(mirror.takeRange("", store.range("").result()), is(true));
+            store.deliver();
+            assertThat(ahead, contains("gone deleted"));
+        }
+
+        @Test
+        void changesOfAnotherMirrorAreTaken() {
+            store.write("kept", "2");
+            store.remove("gone");
+            store.write("new", "1");
+            KvChanges changes = otherMirror().changesSince(mirror.completeTo()).orElseThrow();
+            assertThat("it does not know all deletions since", changes.whole(), is(true));
+            assertThat(mirror.takeChanges(changes), is(true));
+            store.deliver();
+            assertThat(List.copyOf(ahead).stream().sorted().toList(), contains("gone deleted", "kept=2", "new=1"));
+        }
+
+        @Test
+        void onlyWhatIsNewerIsPassedOn() {
+            KvMirror other = otherMirror();
+            store.write("kept", "2");
+            store.write("new", "1");
+            store.remove("new");
+            long since = mirror.completeTo();
+            mirror.takeRange("k", store.range("k").result());
+            store.deliver();
+            KvChanges changes = other.changesSince(since).orElseThrow();
+            assertThat(changes.whole(), is(false));
+            assertThat(changes.entries().stream().map(KvEntry::key).toList(), contains("kept"));
+            assertThat(List.copyOf(changes.deleted().keySet()), contains("new"));
+            assertThat(other.changesSince(other.completeTo()).orElseThrow().entries(), is(empty()));
+        }
+
+        /** Guards against proofs of a mirror that does not know yet that the service was restored. */
+        @Test
+        void nothingIsPassedOnBetweenEpochs() {
+            store.copy();
+            KvMirror behind = otherMirror();
+            KvChanges before = behind.changesSince(mirror.completeTo()).orElseThrow();
+            store.restore();
+            store.deliver();
+            assertThat(mirror.takeChanges(before), is(false));
+            assertThat(mirror.changesSince(before.revision()).isPresent(), is(false));
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
