A target that is missing beside others of its service has left

Change: a lapse takes much of a service at once. If less than half of its targets are missing when the list is complete again, they are removed at once; one that has lapsed all the same registers again within about 2 s, and the others serve meanwhile. With half or more missing, nothing changes.

Ruled out: the number of heartbeats of others in the gap (whether each one changes the entry is not certain); asking the targets' health addresses (each probe takes a slot).

--- a/onyxhinge-core/src/test/java/org/onyxhinge/core/place/LapsedTargetsTest.java
+++ b/onyxhinge-core/src/test/java/org/onyxhinge/core/place/LapsedTargetsTest.java
@@ -27,4 +27,14 @@
         lapsed.settled("a");
         assertThat(lapsed.due(5_000), contains("b"));
     }
+
+    /** Guards against calls to the one target that was removed in an outage, and against a service without targets. */
+    @Test
+    void fewMissingTargetsHaveLeftAndManyHaveLapsed() {
+        assertThat(LapsedTargets.haveLeft(1, 3), is(true));
+        assertThat(LapsedTargets.haveLeft(6, 13), is(true));
+        assertThat(LapsedTargets.haveLeft(7, 13), is(false));
+        assertThat(LapsedTargets.haveLeft(1, 2), is(false));
+        assertThat(LapsedTargets.haveLeft(1, 1), is(false));
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -1,8 +1,11 @@
 package org.onyxhinge.router.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vertx.core.Context;
 import org.jboss.logging.Logger;
@@ -32,6 +35,9 @@
     private final Map<String, Long> leavingUntilMs = new HashMap<>();
 
     private final LapsedTargets lapsed = LapsedTargets.create();
+    /** Whether registrations were found missing since the list was last known to be complete. */
+    private boolean newlyMissing;
+
     private final TargetListProof listProof;
     private final AwaitedProof awaitedList;
 
@@ -92,6 +98,7 @@
     public void lapsed(String id) {
         context.runOnContext(v -> {
             lapsed.lapsed(id, MonotonicClock.nowMs());
+            newlyMissing = true;
         });
     }
 
@@ -101,6 +108,7 @@
      */
     public void listProved(long atMs, TargetListProof.Way way) {
         context.runOnContext(v -> {
+            removeFewMissing();
             listProof.proved(atMs, way);
             if (listProof.isCurrent()) {
                 awaitedList.proved();
@@ -108,6 +116,29 @@
         });
     }
 
+    private void removeFewMissing() {
+        if (!newlyMissing) {
+            return;
+        }
+        newlyMissing = false;
+        Set<String> missing = lapsed.missing();
+        Map<String, List<TargetState>> byService = placement.targets().stream()
+                .collect(Collectors.groupingBy(t -> t.info().service()));
+        byService.forEach((service, all) -> {
+            List<String> ids = all.stream()
+                    .map(t -> t.info().id())
+                    .filter(missing::contains)
+                    .toList();
+            if (LapsedTargets.haveLeft(ids.size(), all.size())) {
+                ids.forEach(id -> {
+                    LOG.infof("target gone id=%s why=\"others of its service are registered\"", id);
+                    lapsed.settled(id);
+                    removeTarget(id);
+                });
+            }
+        });
+    }
+
     /**
      * Runs an action once the list of targets shows which of them no call may reach any more, at once if it does; or
      * once nothing can tell.
