What is no HTTP/1.1 response never reaches the decoder

Callers: a response with status 000 was passed on as one; so were others whose heads hold what no response can: a blank in the name of a field, a transfer coding beside a length, junk before the version.

Cause: decoders repair what they read. They split names at blanks, skip control bytes before a status line, take a line that begins with a blank for a part of the one before, and any number for a status.

Change: ResponseGrammar, pure, reads the bytes of a connection by RFC 9110 and 9112 before the decoder does, and StrictResponses lets nothing behind the first wrong byte through and closes the connection; the attempt then counts as one that may have run. Bodies are skipped, not read. What the standard lets a recipient accept is passed on as before, a folded line as one. A line feed without a carriage return is still refused. The log names the connection, the reason and the bytes around (escaped).

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/SingleCallClient.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/SingleCallClient.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import org.onyxhinge.wire.http.StrictResponses;
 
 /**
  * The HTTP client of an agent. The responses of targets and of the VM list name no request, so each request has a
@@ -12,8 +13,11 @@
 
     private SingleCallClient() {}
 
-    /** Creates a client that closes each connection after one response. */
+    /** Creates a client that closes each connection after one response, and on what is no response. */
     static HttpClient create(Vertx vertx) {
-        return vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+        return vertx.httpClientBuilder()
+                .with(new HttpClientOptions().setKeepAlive(false))
+                .withConnectHandler(StrictResponses::addTo)
+                .build();
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ConnectionPipeline.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ConnectionPipeline.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import io.vertx.core.http.impl.UnpooledHttpClientConnection;
+import org.onyxhinge.wire.http.StrictResponses;
 
 /**
  * Adds handlers to HTTP connections. Vert.x has no interface for that, so this reads the connection's channel from a
@@ -40,6 +41,11 @@
         client.pipeline().addBefore(client.name(), handler.getClass().getName(), handler);
     }
 
+    /** Adds a handler that keeps from the decoder of a new connection what is no response. */
+    static StrictResponses addStrictResponses(HttpConnection connection) {
+        return StrictResponses.addTo(http(connection).channelHandlerContext());
+    }
+
     /** Reads a connection, from which nothing has been read, in parts that are smaller than by default. */
     static void readInSmallParts(HttpConnection connection) {
         http(connection)
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/GatedHttpClient.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/GatedHttpClient.java
@@ -9,11 +9,13 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.connection.ResponseIdentity;
 import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.http.StrictResponses;
 
 /**
  * A pooled HTTP client that gives a request only the response that belongs to it, as {@link ResponseGate} decides.
@@ -42,7 +44,8 @@
 
     private void connected(HttpConnection connection) {
         String target = String.valueOf(connection.remoteAddress());
-        ConnectionPipeline.addBeforeClient(connection, new ResponseGate((what, identified) -> {
+        StrictResponses strict = ConnectionPipeline.addStrictResponses(connection);
+        ConnectionPipeline.addBeforeClient(connection, new ResponseGate(strict, (what, identified) -> {
             surplusUntilMs = MonotonicClock.nowMs() + SurplusResponses.MEMORY_MS;
             LOG.warnf("surplus response target=%s what=\"%s\" identified=%b", target, what, identified);
         }));
@@ -90,7 +93,7 @@
             return false;
         }
         ResponseGate gate = found.get();
-        gate.expect(reader, true);
+        gate.expect(reader, request.getMethod() == HttpMethod.HEAD);
         request.response().compose(r -> r.end()).onSuccess(v -> {
             if (!gate.isReusable()) {
                 connection.close();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ResponseGate.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ResponseGate.java
@@ -21,6 +21,7 @@
 import org.onyxhinge.core.connection.ConnectionEvent;
 import org.onyxhinge.core.connection.ConnectionState;
 import org.onyxhinge.core.connection.ResponseIdentity;
+import org.onyxhinge.wire.http.StrictResponses;
 
 /**
  * Passes on only the responses that belong to the call of a connection, as {@link ConnectionState} decides. It sits
@@ -41,6 +42,7 @@
     private static final int MAX_NAMED = 3;
 
     private final SurplusListener listener;
+    private final StrictResponses strict;
     private ConnectionState state = ConnectionState.open();
     private ResponseReader reader = headers -> new ResponseIdentity.Absent();
     private boolean skippingAllowed = true;
@@ -57,9 +59,11 @@
     /**
      * Creates a gate for a new connection.
      *
+     * @param strict keeps from the decoder of the connection what is no response
      * @param listener is told of what is not passed on
      */
-    ResponseGate(SurplusListener listener) {
+    ResponseGate(StrictResponses strict, SurplusListener listener) {
+        this.strict = strict;
         this.listener = listener;
     }
 
@@ -67,11 +71,13 @@
      * Expects the response of a call that is about to be sent.
      *
      * @param newReader reads which call a response names
-     * @param maySkip whether responses to other calls may come before; otherwise the connection is closed if one does
+     * @param bodiless whether the response has no body whatever its head says. Responses to other calls may not come
+     *     before it then; otherwise they are skipped
      */
-    void expect(ResponseReader newReader, boolean maySkip) {
+    void expect(ResponseReader newReader, boolean bodiless) {
         reader = newReader;
-        skippingAllowed = maySkip;
+        skippingAllowed = !bodiless;
+        strict.expectBodiless(bodiless);
         skippedIds.clear();
         skippedResponses = 0;
         droppedInterim = 0;
@@ -122,6 +128,15 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof StrictResponses.Rejected rejected) {
+            passEnd(context, statusLineInBody.found());
+            on(new ConnectionEvent.Malformed(), rejected.why(), false);
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         passEnd(context, false);
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/TargetConnection.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/TargetConnection.java
@@ -42,7 +42,7 @@
         this.http = http;
         this.incarnation = incarnation;
         this.maxIdle = maxIdle;
-        this.gate = new ResponseGate(listener);
+        this.gate = new ResponseGate(ConnectionPipeline.addStrictResponses(http), listener);
         ConnectionPipeline.addBeforeClient(http, gate);
     }
 
@@ -61,7 +61,7 @@
         calls++;
         lastCall |= bodiless;
         carriedIds.add(requestId, MonotonicClock.nowMs());
-        gate.expect(reader, !bodiless);
+        gate.expect(reader, bodiless);
     }
 
     /** Whether no second response to an earlier call can be taken for that to a call with an id. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/connection/ResponseGateTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/connection/ResponseGateTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.core.connection.ResponseIdentity;
+import org.onyxhinge.wire.http.StrictResponses;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -25,15 +26,16 @@
 class ResponseGateTest {
 
     private final List<String> surplus = new ArrayList<>();
-    private final ResponseGate gate = new ResponseGate((what, identified) -> surplus.add(what));
-    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), gate);
+    private final StrictResponses strict = StrictResponses.create();
+    private final ResponseGate gate = new ResponseGate(strict, (what, identified) -> surplus.add(what));
+    private final EmbeddedChannel channel = new EmbeddedChannel(strict, new HttpClientCodec(), gate);
 
     private static ResponseReader reader(String id) {
         return headers -> ResponseIdentity.of(headers.getAll("Id"), id);
     }
 
     private void call(String id) {
-        gate.expect(reader(id), true);
+        gate.expect(reader(id), false);
         channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
         channel.releaseOutbound();
     }
@@ -252,7 +254,7 @@
                 headers -> {
                     throw new IllegalArgumentException("unreadable");
                 },
-                true);
+                false);
         receive(response("Id: a\r\n", "first"));
         assertThat(channel.isOpen(), is(false));
         assertThat(passedOn(), is(""));
--- /dev/null
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/StrictResponses.java
@@ -0,0 +1,116 @@
+package org.onyxhinge.wire.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import org.jboss.logging.Logger;
+
+/**
+ * Sits before the decoder of an HTTP connection and lets it see nothing behind the first byte that no response can hold
+ * ({@link ResponseGrammar}): the decoder would repair it, or take other bytes for the body. Such a connection is
+ * closed.
+ */
+public final class StrictResponses extends ChannelInboundHandlerAdapter {
+
+    private static final Logger LOG = Logger.getLogger(StrictResponses.class);
+
+    /** Bytes around the rejected one that are logged. */
+    private static final int LOGGED_BYTES = 48;
+
+    private final ResponseGrammar grammar = ResponseGrammar.create();
+    private boolean rejected;
+
+    /**
+     * Told to the handlers behind the decoder when the connection has sent what is no response.
+     *
+     * @param why reason for the log
+     */
+    public record Rejected(String why) {}
+
+    private StrictResponses() {}
+
+    /** Creates a handler for a new connection. */
+    public static StrictResponses create() {
+        return new StrictResponses();
+    }
+
+    /** Adds a handler to a connection from which nothing has been read. */
+    public static StrictResponses addTo(ChannelHandlerContext client) {
+        StrictResponses handler = create();
+        client.pipeline().addFirst(handler);
+        return handler;
+    }
+
+    /** Adds a handler to a connection of a pooled client, from which nothing has been read. */
+    public static StrictResponses addTo(HttpConnection connection) {
+        return addTo(((HttpClientConnectionInternal) connection).channelHandlerContext());
+    }
+
+    /** Sets whether the next final response has no body whatever its head says, as one to a HEAD request. */
+    public void expectBodiless(boolean nextIsBodiless) {
+        grammar.expectBodiless(nextIsBodiless);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (!(message instanceof ByteBuf bytes)) {
+            context.fireChannelRead(message);
+            return;
+        }
+        int valid = rejected ? 0 : validBytes(bytes);
+        if (valid == bytes.readableBytes()) {
+            context.fireChannelRead(bytes);
+            return;
+        }
+        String near = rejected ? "" : near(bytes, valid);
+        if (valid > 0) {
+            context.fireChannelRead(bytes.readRetainedSlice(valid));
+        }
+        bytes.release();
+        if (!rejected) {
+            reject(context, grammar.violation(), near);
+        }
+    }
+
+    private void reject(ChannelHandlerContext context, String why, String near) {
+        rejected = true;
+        LOG.warnf(
+                "no response from=%s why=\"%s\" near=\"%s\"", context.channel().remoteAddress(), why, near);
+        context.fireUserEventTriggered(new Rejected(why));
+        context.close();
+    }
+
+    /** Number of bytes before the first one that is rejected. */
+    private int validBytes(ByteBuf bytes) {
+        int start = bytes.readerIndex();
+        int end = bytes.writerIndex();
+        int i = start;
+        while (i < end) {
+            long body = Math.min(grammar.bodyBytes(), end - i);
+            if (body > 0) {
+                grammar.skipBody(body);
+                i += (int) body;
+            } else if (grammar.accept(bytes.getByte(i))) {
+                i++;
+            } else {
+                return i - start;
+            }
+        }
+        return end - start;
+    }
+
+    /** The bytes around a rejected one; those that are not printable are escaped. */
+    private static String near(ByteBuf bytes, int rejectedAt) {
+        int from = Math.max(0, rejectedAt - LOGGED_BYTES);
+        int to = Math.min(bytes.readableBytes(), rejectedAt + LOGGED_BYTES / 2);
+        StringBuilder out = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            int c = bytes.getUnsignedByte(bytes.readerIndex() + i);
+            boolean printable = c >= ' ' && c < 0x7f && c != '"' && c != '\\';
+            out.append(printable ? Character.toString(c) : String.format("\\x%02x", c));
+        }
+        return out.toString();
+    }
+}
