A response without length is whole only if its connection ended in order

Callers: a target answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written; the caller got that part as a complete response.

Cause: the write that failed closed the connection before the reset was read, and a body without length ends with its connection, however that ends.

Change: a failed write closes the connection no more, so what was received before is read. Whether the other side has ended it is told apart from a reset, from a failed write and from a close of our own; only the first makes such a response whole. If the request has not been written to its end, the target must have announced that it closes, too.

An ordered end with notice, and a response with length whose connection is reset while the upload is written, are passed on whole, as before; an ordered end without notice is no longer.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -310,6 +310,10 @@
             whole.run();
             return;
         }
+        if (!requestWritten && !ResponseFraming.announcesClose(response)) {
+            endWithFailure("response without length ended before the request was written");
+            return;
+        }
         forwarder
                 .crashQuarantine()
                 .terminatedWithResponse(owner.suspects(), target)
@@ -471,8 +475,7 @@
         }
         TargetConnection c = connection;
         connection = null;
-        String connectionHeader = response.getHeader("Connection");
-        if (connectionHeader != null && connectionHeader.equalsIgnoreCase("close")
+        if (ResponseFraming.announcesClose(response)
                 || !ResponseFraming.hasDefinedLength(request.getMethod(), response)) {
             c.close();
         } else {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ResponseFraming.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/ResponseFraming.java
@@ -1,6 +1,5 @@
 package org.onyxhinge.router.forward;
 
-import java.util.Locale;
 import java.util.Set;
 
 import io.vertx.core.http.HttpClientResponse;
@@ -15,10 +14,15 @@
 
     /** Whether the end of a response to a request of a method does not depend on the end of the connection. */
     static boolean hasDefinedLength(HttpMethod method, HttpClientResponse response) {
-        String transferEncoding = response.getHeader("Transfer-Encoding");
-        boolean chunked = transferEncoding != null
-                && transferEncoding.toLowerCase(Locale.ROOT).contains("chunked");
-        return chunked || isBodiless(method, response) || response.getHeader("Content-Length") != null;
+        return response.getHeader("Transfer-Encoding") != null
+                || isBodiless(method, response)
+                || response.getHeader("Content-Length") != null;
+    }
+
+    /** Whether the target announces that it closes the connection after a response. */
+    static boolean announcesClose(HttpClientResponse response) {
+        String connection = response.getHeader("Connection");
+        return connection != null && connection.equalsIgnoreCase("close");
     }
 
     /** Length of the body according to the target, or {@link BodyBuffer#UNKNOWN_LENGTH}. */
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/MalformedResponseTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/file/MalformedResponseTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
@@ -223,4 +224,58 @@
             assertThat(received, containsString("folded\r\n"));
         }
     }
+
+    /** Guards against a part of a response that a caller takes for the whole, since the connection is broken. */
+    @Nested
+    class BrokenWhileUploading {
+
+        /** More than the buffers of both sockets take. */
+        private static final int UPLOAD_BYTES = 4 << 20;
+
+        private static final int RECEIVE_BUFFER_BYTES = 4_096;
+        private static final String HEAD = "HTTP/1.1 200 OK\r\n" + ID + "Connection: close\r\n";
+
+        private String afterAnswer(String answer, long delayMs, boolean reset) throws IOException {
+            start(RECEIVE_BUFFER_BYTES, (socket, in, bodyBytes) -> {
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().flush();
+                Thread.sleep(delayMs);
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                } else {
+                    socket.shutdownOutput();
+                    in.readNBytes(bodyBytes);
+                }
+            });
+            return call(UPLOAD_BYTES);
+        }
+
+        @ParameterizedTest
+        @CsvSource({"5,3000", "60,3000", "400,3000", "5,0", "60,0", "400,0"})
+        void aResponseWithoutLengthThatIsResetIsNotWhole(long delayMs, int bytes) throws IOException {
+            String received = afterAnswer(HEAD + "\r\n" + "b".repeat(bytes), delayMs, true);
+            assertThat(received, startsWith("HTTP/1.1 502 "));
+        }
+
+        @Test
+        void aResponseWithoutLengthThatEndsInOrderIsWhole() throws IOException {
+            String received = afterAnswer(HEAD + "\r\n" + "b".repeat(3_000), 60, false);
+            assertThat(received, startsWith("HTTP/1.1 200 "));
+            assertThat(received, containsString("b".repeat(3_000)));
+        }
+
+        /** Neither its end nor a notice shows that the target has written all of it. */
+        @Test
+        void aResponseWithoutLengthThatEndsWithoutNoticeIsNotWhole() throws IOException {
+            String received = afterAnswer("HTTP/1.1 200 OK\r\n" + ID + "\r\n" + "b".repeat(3_000), 60, false);
+            assertThat(received, startsWith("HTTP/1.1 502 "));
+        }
+
+        @Test
+        void aResponseWithLengthIsWholeThoughTheConnectionIsReset() throws IOException {
+            String received = afterAnswer(HEAD + "Content-Length: 3000\r\n\r\n" + "b".repeat(3_000), 60, true);
+            assertThat(received, startsWith("HTTP/1.1 200 "));
+            assertThat(received, containsString("b".repeat(3_000)));
+        }
+    }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/StrictResponses.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/StrictResponses.java
@@ -3,6 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelInputShutdownReadComplete;
+import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import org.jboss.logging.Logger;
@@ -10,7 +14,8 @@
 /**
  * Sits before the decoder of an HTTP connection and lets it see nothing behind the first byte that no response can hold
  * ({@link ResponseGrammar}): the decoder would repair it, or take other bytes for the body. Such a connection is
- * closed.
+ * closed. A response that ends with its connection is whole only if the other side has ended it: not if it is reset, or
+ * if a request could not be written to its end.
  */
 public final class StrictResponses extends ChannelInboundHandlerAdapter {
 
@@ -21,6 +26,8 @@
 
     private final ResponseGrammar grammar = ResponseGrammar.create();
     private boolean rejected;
+    private boolean broken;
+    private boolean endedInOrder;
 
     /**
      * Told to the handlers behind the decoder when the connection has sent what is no response.
@@ -40,6 +47,8 @@
     public static StrictResponses addTo(ChannelHandlerContext client) {
         StrictResponses handler = create();
         client.pipeline().addFirst(handler);
+        // A failed write does not close the connection, so that what has been received before is read.
+        client.channel().config().setAutoClose(false).setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         return handler;
     }
 
@@ -74,6 +83,37 @@
         }
     }
 
+    /** Follows how the connection ends. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        switch (event) {
+            case ChannelOutputShutdownEvent e -> broken = true;
+            case ChannelInputShutdownEvent e -> {
+                endedInOrder = !broken;
+                context.close();
+            }
+            case ChannelInputShutdownReadComplete e -> {
+                // The connection is being closed.
+            }
+            default -> context.fireUserEventTriggered(event);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        broken = true;
+        context.fireExceptionCaught(cause);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (grammar.isInBodyUntilClose() && !endedInOrder && !rejected) {
+            rejected = true;
+            context.fireUserEventTriggered(new Rejected("connection broken within a body without length"));
+        }
+        context.fireChannelInactive();
+    }
+
     private void reject(ChannelHandlerContext context, String why, String near) {
         rejected = true;
         LOG.warnf(
