A response cut within a body without length is no whole one for agents either

The guard told the break to ResponseGate, which keeps the invented end of the response from the client. Now the decoder is taken out of a connection that breaks there, and invents no end anywhere. With the first form a target whose call was cancelled within such a response would also have counted as one that sends surplus bytes.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/StrictResponses.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/StrictResponses.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import org.jboss.logging.Logger;
@@ -107,9 +108,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (grammar.isInBodyUntilClose() && !endedInOrder && !rejected) {
-            rejected = true;
-            context.fireUserEventTriggered(new Rejected("connection broken within a body without length"));
+        boolean cut = grammar.isInBodyUntilClose() && !endedInOrder;
+        if (cut && context.pipeline().get(HttpClientCodec.class) != null) {
+            // The decoder would take the end of the connection for that of the response.
+            context.pipeline().remove(HttpClientCodec.class);
         }
         context.fireChannelInactive();
     }
