Keys that a restored store may have lost are not passed to other routers

Found by reading, not shown by a run: a router that asks for all keys after a restore could have got a registration that its owner had not written again, and would have kept it, since no deletion of it follows. KvMirror.changesSince leaves out the keys that are awaited.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -149,7 +149,8 @@
         }
         boolean whole = revision < deletionsUnknownTo;
         List<KvEntry> changed = entries.values().stream()
-                .filter(e -> (whole || e.modRevision() > revision) && !deleted.containsKey(e.key()))
+                .filter(e -> whole || e.modRevision() > revision)
+                .filter(e -> !deleted.containsKey(e.key()) && !missing.contains(e.key()))
                 .toList();
         Map<String, Long> removed = deleted.entrySet().stream()
                 .filter(e -> e.getValue() > revision && isOfThisEpoch(e.getValue()))
