Replies about the store are taken for queries with random ids only

What a StoreReply holds is taken for contents of the store, so its id is not one that another process on the peers' network could count up to.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RelayedProofs.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RelayedProofs.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward;
 
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -33,9 +34,9 @@
     private final ActiveConfig config;
     private final TargetListProof targetList;
     private final ForwardingMetrics metrics;
+    private final SecureRandom ids = new SecureRandom();
     private final Map<Long, Long> askedAtMs = BoundedMap.dropOldest(MAX_ASKED);
     private StoreRelay relay;
-    private long lastAskId;
 
     RelayedProofs(
             Context context,
@@ -70,8 +71,10 @@
             List<String> connected = peers.get().connectedIds();
             if (!connected.isEmpty()) {
                 String asked = connected.get(ThreadLocalRandom.current().nextInt(connected.size()));
-                askedAtMs.put(++lastAskId, freshness.stampMs());
-                peers.get().sendBestEffort(asked, new PeerMessage.StoreQuery(routerId, lastAskId, revision));
+                // Not to be guessed: what replies to it is taken for contents of the store.
+                long askId = ids.nextLong();
+                askedAtMs.put(askId, freshness.stampMs());
+                peers.get().sendBestEffort(asked, new PeerMessage.StoreQuery(routerId, askId, revision));
                 metrics.event("proofs.asked");
             }
         });
