--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -109,7 +109,8 @@
     private void connected(TargetConnection c, int maxIdleConnections) {
         forwarder
                 .targets()
-                .whenListCurrent(() -> forwarder.reads().afterRead(() -> {
+                .listProof()
+                .whenCurrent(() -> forwarder.reads().afterRead(() -> {
                     if (!c.isClosed() || ended) {
                         sendOn(c);
                     } else if (c.calls() > 0 && !replaced) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -152,7 +152,7 @@
         f.awaitingConfig = new CallsAwaitingConfig(vertx, f.reads);
         f.loopDelay = EventLoopDelay.start(vertx, f.context, f.reads);
         f.waiting = new WaitingExchanges(vertx, f.context, f.reads, f.placement);
-        TargetListProof listProof = new TargetListProof(freshness);
+        TargetListProof listProof = new TargetListProof(freshness, new AwaitedProof(vertx, f.reads));
         f.relayedProofs = new RelayedProofs(
                 f.context, settings.routerId(), () -> f.peers, freshness, f.config, listProof, f.metrics);
         f.targets = new TargetRegistry(
@@ -163,8 +163,7 @@
                 f.streamOrigins,
                 f::pumpSoon,
                 settings.leavingHoldMs(),
-                listProof,
-                new AwaitedProof(vertx, f.reads));
+                listProof);
         f.rolloutRecords = new RolloutRecords(f.context, f.rollouts);
         f.context.runOnContext(v -> f.listen().onComplete(started));
         return started.future();
@@ -272,7 +271,7 @@
 
     /** Records that a read that could have shown the list of targets to be complete has failed. */
     public void targetListReadFailed() {
-        context.runOnContext(v -> targets.awaitedList().readFailed());
+        context.runOnContext(v -> targets.listProof().awaited().readFailed());
     }
 
     /** Records that nothing is left that could tell whether the active configuration is the newest. */
@@ -287,7 +286,7 @@
 
     /** Sets what asks for the newest list of targets; {@code ask} may be run on any thread, and often. */
     public void proveTargetsBy(Runnable ask) {
-        context.runOnContext(v -> targets.awaitedList().askBy(ask));
+        context.runOnContext(v -> targets.listProof().awaited().askBy(ask));
     }
 
     /** Sets this router's copy of the store, which other routers may ask for. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
@@ -29,7 +29,7 @@
                 .put("targetListAgeMs", f.targets().listProof().ageMs())
                 .put("targetListBy", f.targets().listProof().way())
                 .put("callsAwaitingConfig", f.awaitingConfig().confirmation().waitingCount())
-                .put("callsAwaitingTargets", f.targets().awaitedList().waitingCount())
+                .put("callsAwaitingTargets", f.targets().listProof().awaited().waitingCount())
                 .put("targets", placement.targets().size())
                 .put("targetConnections", f.connections().openCount())
                 .put("targetConnectionsOpened", f.connections().opened())
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetListProof.java
@@ -13,6 +13,7 @@
     private static final Logger LOG = Logger.getLogger(TargetListProof.class);
 
     private final ConfigFreshness freshness;
+    private final AwaitedProof awaited;
     private volatile Proof latest = new Proof(ConfigFreshness.NEVER_CONFIRMED_MS, Way.NONE);
 
     /** How the list is read. */
@@ -35,8 +36,9 @@
      */
     private record Proof(long atMs, Way way) {}
 
-    TargetListProof(ConfigFreshness freshness) {
+    TargetListProof(ConfigFreshness freshness, AwaitedProof awaited) {
         this.freshness = freshness;
+        this.awaited = awaited;
     }
 
     /** Records that the list is complete up to a time. */
@@ -45,6 +47,9 @@
             LOG.infof("targets read by=%s before=%s ageMs=%d", text(way), text(latest.way()), ageMs());
         }
         latest = new Proof(Math.max(latest.atMs(), atMs), way);
+        if (isCurrent()) {
+            awaited.proved();
+        }
     }
 
     /** Time since the list was proved; -1 if it never was. */
@@ -61,8 +66,23 @@
         return way.name().toLowerCase(Locale.ROOT);
     }
 
-    /** True while each target that has left as long ago as calls may still reach it is known to have left. */
-    boolean isCurrent() {
+    /** Whether it shows each target that has left so long ago that no call may reach it any more. */
+    private boolean isCurrent() {
         return freshness.isTargetListCurrent(latest.atMs());
     }
+
+    /**
+     * Runs an action once the list shows which targets no call may reach any more, at once if it does; or once nothing
+     * can tell. Called on the event loop.
+     */
+    void whenCurrent(Runnable action) {
+        if (isCurrent() || !awaited.await(action)) {
+            action.run();
+        }
+    }
+
+    /** What waits for a newer list. */
+    AwaitedProof awaited() {
+        return awaited;
+    }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/TargetRegistry.java
@@ -39,7 +39,6 @@
     private boolean newlyMissing;
 
     private final TargetListProof listProof;
-    private final AwaitedProof awaitedList;
 
     /**
      * Creates a registry without targets.
@@ -55,10 +54,8 @@
             StreamOrigins streamOrigins,
             Runnable onChange,
             long leavingHoldMs,
-            TargetListProof listProof,
-            AwaitedProof awaitedList) {
+            TargetListProof listProof) {
         this.listProof = listProof;
-        this.awaitedList = awaitedList;
         this.context = context;
         this.placement = placement;
         this.rollouts = rollouts;
@@ -110,9 +107,6 @@
         context.runOnContext(v -> {
             removeFewMissing();
             listProof.proved(atMs, way);
-            if (listProof.isCurrent()) {
-                awaitedList.proved();
-            }
         });
     }
 
@@ -139,26 +133,11 @@
         });
     }
 
-    /**
-     * Runs an action once the list of targets shows which of them no call may reach any more, at once if it does; or
-     * once nothing can tell.
-     */
-    void whenListCurrent(Runnable action) {
-        if (listProof.isCurrent() || !awaitedList.await(action)) {
-            action.run();
-        }
-    }
-
     /** Up to when the list of targets is known to be complete. */
     TargetListProof listProof() {
         return listProof;
     }
 
-    /** What waits for a newer list. */
-    AwaitedProof awaitedList() {
-        return awaitedList;
-    }
-
     /**
      * Records that the complete answer to a read of the registry has been passed on.
      *
