--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -70,9 +70,15 @@
         Runtime.getRuntime().halt(code);
     }
 
+    /** A free port outside the range from which the system takes ports for clients. */
     static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
+        while (true) {
+            int port = java.util.concurrent.ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket s = new ServerSocket(port, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
+                return s.getLocalPort();
+            } catch (java.net.BindException e) {
+                // Taken.
+            }
         }
     }
 
