--- a/review/standins-2/Case5.java
+++ b/review/standins-2/Case5.java
@@ -12,7 +12,7 @@
 /** Case 5: some model engines crash within three seconds and start again; half a second later all routers are killed and start again. */
 public final class Case5 {
     private static final int ENGINES = 13;
-    private static final int CRASHES = 6;
+    private static final int CRASHES = 5;
     private static final long CRASH_GAP_MS = 450;
     private static final long DOWN_MS = 3_000;
     private static final int EVENTS = 30;
