The log and the state dump tell which entries of the store are not taken

`loop turn failed` named neither key nor revision, and a read beside the watch that was not taken gave no reason, so the hypotheses of docs/incidents/unreadable-entry.md could not be told apart.

- `kv entry not taken key=... revision=... attempts=... forMs=...`, at the first attempt and then at powers of two, for ten keys at most; `kv entry taken` when it ends.
- a read that is not taken says how the mirror stands.

LogText moves to the core module, since the mirror needs it; one copy as before. What is taken, and when, is unchanged.

--- a/onyxhinge-runtime/src/main/java/org/onyxhinge/runtime/LogText.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/text/LogText.java
@@ -1,4 +1,4 @@
-package org.onyxhinge.runtime;
+package org.onyxhinge.core.text;
 
 /** Text that another writer chose, as part of a log line: cut short, and without characters that end the line. */
 public final class LogText {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RecoveryRecords.java
@@ -7,7 +7,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import org.jboss.logging.Logger;
-import org.onyxhinge.runtime.LogText;
+import org.onyxhinge.core.text.LogText;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.kv.KvMessage;
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RelayedProofs.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RelayedProofs.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.wire.kv.KvChanges;
+import org.onyxhinge.wire.kv.KvMirror;
 import org.onyxhinge.wire.peer.PeerMessage;
 
 /**
@@ -60,6 +61,11 @@
         context.runOnContext(v -> relay = newRelay);
     }
 
+    /** How this router's copy of the store stands. */
+    KvMirror.State storeState() {
+        return relay == null ? KvMirror.State.EMPTY : relay.state();
+    }
+
     /**
      * Asks another router, each time one chosen at random, since some may be in the same trouble; may be called on any
      * thread.
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutRecords.java
@@ -7,7 +7,7 @@
 import io.vertx.core.Promise;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.rollout.RolloutOrder;
-import org.onyxhinge.runtime.LogText;
+import org.onyxhinge.core.text.LogText;
 
 /**
  * What the key-value service holds about rollouts: operators' orders, the routers' records and the state that operators
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
@@ -2,10 +2,12 @@
 
 import java.util.HashMap;
 
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.onyxhinge.core.limit.RepeatLimits;
 import org.onyxhinge.core.place.Placement;
 import org.onyxhinge.wire.MonotonicClock;
+import org.onyxhinge.wire.kv.KvMirror;
 
 /** The state of a forwarder as JSON, for operators. */
 final class StateDump {
@@ -28,6 +30,7 @@
                 .put("shortCalls", shortCalls(placement))
                 .put("targetListAgeMs", f.targets().listProof().ageMs())
                 .put("targetListBy", f.targets().listProof().way())
+                .put("store", store(f.relayedProofs().storeState()))
                 .put("callsAwaitingConfig", f.awaitingConfig().confirmation().waitingCount())
                 .put("callsAwaitingTargets", f.targets().listProof().awaited().waitingCount())
                 .put("targets", placement.targets().size())
@@ -51,6 +54,15 @@
                 .put("routersHeardPart", f.peers().heardPart());
     }
 
+    private static JsonObject store(KvMirror.State state) {
+        return new JsonObject()
+                .put("loaded", state.loaded())
+                .put("epoch", state.epoch())
+                .put("entriesNotTaken", state.notTaken())
+                .put("oldestNotTakenMs", state.oldestNotTakenMs())
+                .put("keysNotTaken", new JsonArray(state.keysNotTaken()));
+    }
+
     private static JsonObject workspaceUse(Placement placement) {
         JsonObject out = new JsonObject();
         placement.workspaceUse(MonotonicClock.nowMs()).forEach((service, uses) -> {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StoreRelay.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StoreRelay.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import org.onyxhinge.wire.kv.KvChanges;
+import org.onyxhinge.wire.kv.KvMirror;
 
 /**
  * This router's copy of the store, as other routers use it while the store does not answer them in time. The methods
@@ -28,4 +29,7 @@
      * @param targetsProvedAtMs the same of its list of targets
      */
     void relayed(KvChanges changes, long configProvedAtMs, long targetsProvedAtMs);
+
+    /** How the copy stands. */
+    KvMirror.State state();
 }
--- /dev/null
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
@@ -0,0 +1,73 @@
+package org.onyxhinge.wire.kv;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jboss.logging.Logger;
+import org.onyxhinge.core.text.LogText;
+
+/** The keys whose last change the listener of a mirror has failed to take. Confined to the mirror's context. */
+final class EntriesNotTaken {
+
+    private static final Logger LOG = Logger.getLogger(EntriesNotTaken.class);
+
+    /** Keys that are named; hundreds of entries may fail for one reason. */
+    private static final int MAX_NAMED = 10;
+
+    private final Map<String, Failure> byKey = new LinkedHashMap<>();
+
+    /** A change that was not taken; times in ms by the monotonic clock. */
+    private record Failure(long revision, long sinceMs, int attempts) {
+
+        /** Whether the number of attempts is a power of two, so that the lines of one failure get rarer. */
+        private boolean isLogged() {
+            return Integer.bitCount(attempts) == 1;
+        }
+    }
+
+    /** Records another failed attempt. */
+    void failed(String key, long revision, long nowMs) {
+        Failure before = byKey.get(key);
+        Failure now = before == null
+                ? new Failure(revision, nowMs, 1)
+                : new Failure(revision, before.sinceMs(), before.attempts() + 1);
+        byKey.put(key, now);
+        if (byKey.size() <= MAX_NAMED && now.isLogged()) {
+            LOG.errorf(
+                    "kv entry not taken key=%s revision=%d attempts=%d forMs=%d notTaken=%d",
+                    LogText.of(key), revision, now.attempts(), nowMs - now.sinceMs(), byKey.size());
+        }
+    }
+
+    /** Records that the present contents of a key are taken, or that it is gone. */
+    void settled(String key, long nowMs) {
+        if (byKey.isEmpty()) {
+            return;
+        }
+        Failure failure = byKey.remove(key);
+        if (failure != null) {
+            LOG.infof(
+                    "kv entry taken key=%s attempts=%d afterMs=%d notTaken=%d",
+                    LogText.of(key), failure.attempts(), nowMs - failure.sinceMs(), byKey.size());
+        }
+    }
+
+    int count() {
+        return byKey.size();
+    }
+
+    /** How long the oldest failure has lasted, in ms; 0 if there is none. */
+    long oldestMs(long nowMs) {
+        return byKey.values().stream().mapToLong(f -> nowMs - f.sinceMs()).max().orElse(0);
+    }
+
+    /** Some of the keys, the one that failed first at the beginning. */
+    List<String> keys() {
+        return byKey.keySet().stream().limit(MAX_NAMED).toList();
+    }
+
+    boolean contains(String key) {
+        return byKey.containsKey(key);
+    }
+}
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -14,6 +14,7 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.collect.BoundedMap;
 import org.onyxhinge.wire.Loop;
+import org.onyxhinge.wire.MonotonicClock;
 
 /**
  * Keeps a listener up to date with all keys under a prefix: reads the prefix once, then watches it, and
@@ -48,6 +49,7 @@
     /** Keys that were deleted, with a revision at which they were; the one deleted last comes last. */
     private final Map<String, Long> deleted = BoundedMap.dropOldest(MAX_DELETED);
 
+    private final EntriesNotTaken notTaken = new EntriesNotTaken();
     private final Promise<Long> firstLoad = Promise.promise();
     private final Loop loop;
     private long epoch;
@@ -58,6 +60,21 @@
 
     private int failedLoads;
 
+    /**
+     * How a mirror stands.
+     *
+     * @param loaded whether all keys have been read once
+     * @param epoch the epoch of the service that it follows
+     * @param notTaken number of keys whose last change the listener has failed to take
+     * @param oldestNotTakenMs for how long the oldest of these has not been taken; 0 if there is none
+     * @param keysNotTaken some of these keys
+     */
+    public record State(boolean loaded, long epoch, int notTaken, long oldestNotTakenMs, List<String> keysNotTaken) {
+
+        /** A mirror that has not read anything. */
+        public static final State EMPTY = new State(false, 0, 0, 0, List.of());
+    }
+
     /** Receives the changes. */
     public interface Listener {
 
@@ -139,6 +156,16 @@
         return firstLoad.future().isComplete() ? completeTo : -1;
     }
 
+    /** How the mirror stands, for the log and the state dump. */
+    public State state() {
+        return new State(
+                firstLoad.future().isComplete(),
+                epoch,
+                notTaken.count(),
+                notTaken.oldestMs(MonotonicClock.nowMs()),
+                notTaken.keys());
+    }
+
     /**
      * What has changed since a revision, for the mirror of another client; empty if it belongs to another epoch, or if
      * nothing has been read yet.
@@ -290,8 +317,10 @@
             return true;
         }
         if (!loop.turn(() -> listener.put(entry))) {
+            notTaken.failed(entry.key(), entry.modRevision(), MonotonicClock.nowMs());
             return false;
         }
+        notTaken.settled(entry.key(), MonotonicClock.nowMs());
         entries.put(entry.key(), entry);
         missing.remove(entry.key());
         deleted.remove(entry.key());
@@ -307,8 +336,10 @@
     private boolean delete(String key, long revision) {
         boolean unreported = entries.containsKey(key) && !deleted.containsKey(key);
         if (unreported && !loop.turn(() -> listener.deleted(key))) {
+            notTaken.failed(key, revision, MonotonicClock.nowMs());
             return false;
         }
+        notTaken.settled(key, MonotonicClock.nowMs());
         entries.remove(key);
         if (deleted.size() == MAX_DELETED && !deleted.containsKey(key)) {
             deletionsUnknownTo = Math.max(completeTo, revision);
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LateWatchReader.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LateWatchReader.java
@@ -33,17 +33,22 @@
      * @param name name for the log
      * @param read reads it, by a client of its own, so that no call of another kind delays the reads
      * @param take takes the reply; returns whether the mirror is now as new
+     * @param mirror how the mirror stands
      */
-    public record Part(String name, Supplier<Future<KvMessage.Reply>> read, Predicate<KvMessage.Reply> take) {
+    public record Part(
+            String name,
+            Supplier<Future<KvMessage.Reply>> read,
+            Predicate<KvMessage.Reply> take,
+            Supplier<KvMirror.State> mirror) {
 
         /** One key of a mirror. */
         public static Part ofKey(KvStore kv, KvMirror mirror, String key) {
-            return new Part(key, () -> kv.get(key), reply -> mirror.take(key, reply));
+            return new Part(key, () -> kv.get(key), reply -> mirror.take(key, reply), mirror::state);
         }
 
         /** All keys of a mirror that begin with a prefix. */
         public static Part ofRange(KvStore kv, KvMirror mirror, String prefix) {
-            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.takeRange(prefix, reply));
+            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.takeRange(prefix, reply), mirror::state);
         }
     }
 
@@ -103,7 +108,9 @@
         boolean[] taken = {false};
         loop.turn(() -> taken[0] = part.take().test(reply));
         if (!taken[0]) {
-            failed(sentAtMs, "not what the mirror goes on from");
+            failed(
+                    sentAtMs,
+                    "not what the mirror goes on from: " + part.mirror().get());
             return;
         }
         LOG.infof(
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/ReadSchedule.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/ReadSchedule.java
@@ -66,6 +66,11 @@
         confirmedAtMs = Math.max(confirmedAtMs, atMs);
     }
 
+    /** Age of the last confirmation; -1 if there was none. */
+    public long ageMs(long nowMs) {
+        return confirmedAtMs == Long.MIN_VALUE ? -1 : nowMs - confirmedAtMs;
+    }
+
     /** Somebody waits for a newer confirmation. */
     public void want() {
         wantedReads = WANTED_READS;
