An entry that the listener fails to take delays no other key

What happened: KvMirror counted a load as failed if its listener threw for any one key. No watch was started, all was read again after up to 3.2 s, and take, takeRange and takeChanges refused everything before the first load or because of the one entry. Later on, one event ended the watch of all keys.

Change: the mirror goes on with all other keys. It stays as new as the store whatever the listener does; the entry that was not taken is reported again after 0.2 to 3.2 s until it is taken, 16 at a time, and each failure is logged as before, so an error of our own is still seen. A configuration that cannot be put in force no longer ends the watch.

Existing tests of the mirror are unchanged.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/Loop.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/Loop.java
@@ -33,9 +33,4 @@
             return false;
         }
     }
-
-    /** Number of turns that have failed. */
-    public long failures() {
-        return failures;
-    }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
@@ -15,6 +15,7 @@
     /** Keys that are named; hundreds of entries may fail for one reason. */
     private static final int MAX_NAMED = 10;
 
+    /** The key whose last attempt was longest ago comes first. */
     private final Map<String, Failure> byKey = new LinkedHashMap<>();
 
     /** A change that was not taken; times in ms by the monotonic clock. */
@@ -28,7 +29,7 @@
 
     /** Records another failed attempt. */
     void failed(String key, long revision, long nowMs) {
-        Failure before = byKey.get(key);
+        Failure before = byKey.remove(key);
         Failure now = before == null
                 ? new Failure(revision, nowMs, 1)
                 : new Failure(revision, before.sinceMs(), before.attempts() + 1);
@@ -62,9 +63,14 @@
         return byKey.values().stream().mapToLong(f -> nowMs - f.sinceMs()).max().orElse(0);
     }
 
-    /** Some of the keys, the one that failed first at the beginning. */
+    /** Some of the keys. */
     List<String> keys() {
-        return byKey.keySet().stream().limit(MAX_NAMED).toList();
+        return longestAgo(MAX_NAMED);
+    }
+
+    /** The keys whose last attempts were longest ago, at most {@code count}. */
+    List<String> longestAgo(int count) {
+        return byKey.keySet().stream().limit(count).toList();
     }
 
     boolean contains(String key) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -19,7 +19,8 @@
 /**
  * Keeps a listener up to date with all keys under a prefix: reads the prefix once, then watches it, and
  * reads it again if the service no longer has the history that the watch needs. During an outage no
- * change is reported. A key is never replaced by an older revision. Runs on the client's context.
+ * change is reported. A key is never replaced by an older revision. A change that the listener fails to take is
+ * reported again until it is taken, and delays no change of another key. Runs on the client's context.
  *
  * <p>If the service was restored from a copy, the keys' owners write again what was lost. Until they have had time to,
  * a key that is missing is not reported as deleted. A key that had been deleted is reported only once it is written
@@ -30,9 +31,12 @@
     private static final Logger LOG = Logger.getLogger(KvMirror.class);
     private static final long RETRY_MS = 200;
 
-    /** The pause between loads that the listener does not take is doubled this many times at most. */
+    /** The pause between attempts that the listener fails to take is doubled this many times at most. */
     private static final int MAX_DOUBLINGS = 4;
 
+    /** Changes that are reported again at a time; each failure is logged with its stack. */
+    private static final int MAX_REPEATED = 16;
+
     /** Time for owners to write again what a restore has lost: live targets write about once per second. */
     public static final long REWRITE_MS = 2_000;
 
@@ -59,6 +63,10 @@
     private long deletionsUnknownTo;
 
     private int failedLoads;
+    private int failedRepeats;
+    private boolean repeatScheduled;
+    /** Whether the listener has failed to take the revision that was reached last. */
+    private boolean revisionNotTaken;
 
     /**
      * How a mirror stands.
@@ -87,6 +95,12 @@
         /** All changes up to {@code revision} have been reported. */
         void revisionReached(long revision);
 
+        /**
+         * The call that reported the last change of a key has failed; what was known of the key no longer holds. It
+         * will be reported again.
+         */
+        default void notTaken(String key) {}
+
         /** The contents are read again: keys that were created and deleted since the last change are not reported. */
         default void historyLost() {}
 
@@ -122,7 +136,7 @@
      * Takes the reply to a read of one key, which may be ahead of the watch; a newer entry is reported, without its
      * revision being reached.
      *
-     * @return whether the mirror's entry is now the one in the reply. It is not if there is none, if the service was
+     * @return whether the listener has taken the entry in the reply. It has not if there is none, if the service was
      *     restored, or if the mirror knows of a later change
      */
     public boolean take(String key, KvMessage.Reply reply) {
@@ -139,16 +153,16 @@
      * Takes the reply to a read of all keys under a part of the prefix, which may be ahead of the watch; what differs
      * is reported, without its revision being reached.
      *
-     * @return whether the mirror is now as new as the reply. It is not if the service was restored, or if the listener
-     *     has failed to take a change
+     * @return whether the mirror is now as new as the reply. It is not if the service was restored
      */
     public boolean takeRange(String part, KvMessage.Reply reply) {
         if (!isOfThisEpoch(reply.revision())) {
             return false;
         }
         Set<String> present = reply.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
-        boolean taken = reply.entries().stream().allMatch(this::put);
-        return deleteAbsent(part, present, reply.revision()) && taken;
+        reply.entries().forEach(this::put);
+        deleteAbsent(part, present, reply.revision());
+        return true;
     }
 
     /** The revision up to which all changes have been reported; -1 before the first read. */
@@ -189,21 +203,20 @@
      * Takes what the mirror of another client holds.
      *
      * @return whether this mirror is now as new as the other one. It is not if one of them knows of a restore that the
-     *     other does not, or if the listener has failed to take a change
+     *     other does not
      */
     public boolean takeChanges(KvChanges changes) {
         if (!isOfThisEpoch(changes.revision())) {
             return false;
         }
-        boolean taken = changes.entries().stream().allMatch(this::put);
-        for (Map.Entry<String, Long> removed : changes.deleted().entrySet()) {
-            taken &= deleteUnlessNewer(removed.getKey(), removed.getValue());
-        }
+        changes.entries().forEach(this::put);
+        changes.deleted().forEach(this::deleteUnlessNewer);
         if (changes.whole()) {
             Set<String> present = changes.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
-            taken &= deleteAbsent("", present, changes.revision());
+            deleteAbsent("", present, changes.revision());
         }
-        return taken && reached(changes.revision());
+        reached(changes.revision());
+        return true;
     }
 
     private boolean isOfThisEpoch(long revision) {
@@ -211,19 +224,24 @@
     }
 
     /** Deletes the keys that are missing from a read, except those that were written after it. */
-    private boolean deleteAbsent(String part, Set<String> present, long readRevision) {
-        boolean taken = true;
+    private void deleteAbsent(String part, Set<String> present, long readRevision) {
         for (String key : List.copyOf(entries.keySet())) {
             if (key.startsWith(part) && !present.contains(key) && !missing.contains(key)) {
-                taken &= deleteUnlessNewer(key, readRevision);
+                deleteUnlessNewer(key, readRevision);
             }
         }
-        return taken;
     }
 
-    private boolean reached(long revision) {
+    private void reached(long revision) {
         completeTo = Math.max(completeTo, revision);
-        return loop.turn(() -> listener.revisionReached(revision));
+        reportRevision(revision);
+    }
+
+    private void reportRevision(long revision) {
+        revisionNotTaken = !loop.turn(() -> listener.revisionReached(revision));
+        if (revisionNotTaken) {
+            repeatLater();
+        }
     }
 
     private void load() {
@@ -241,9 +259,7 @@
     }
 
     private void loaded(KvMessage.Reply reply) {
-        long failuresBefore = loop.failures();
-        loop.turn(() -> apply(reply));
-        if (loop.failures() > failuresBefore) {
+        if (!loop.turn(() -> apply(reply))) {
             failedLoads++;
             loadLater();
         } else {
@@ -257,7 +273,6 @@
         }
     }
 
-    /** Reports what has changed; keys that the listener fails to take are reported again by the next load. */
     private void apply(KvMessage.Reply reply) {
         boolean firstRead = !firstLoad.future().isComplete();
         long newEpoch = KvRevision.epoch(reply.revision());
@@ -277,7 +292,7 @@
         }
         absent.removeAll(missing);
         absent.forEach(key -> deleteUnlessNewer(key, reply.revision()));
-        listener.revisionReached(reply.revision());
+        reportRevision(reply.revision());
     }
 
     /** Reports keys as deleted unless they are written again in time. */
@@ -302,49 +317,84 @@
     }
 
     private void applyEvent(KvMessage.Event event) {
-        boolean taken = event.deleted() ? deleteUnlessNewer(event.entry().key(), event.revision()) : put(event.entry());
-        if (!taken || !reached(event.revision())) {
-            throw new IllegalStateException("change not taken: " + event.entry().key());
+        if (event.deleted()) {
+            deleteUnlessNewer(event.entry().key(), event.revision());
+        } else {
+            put(event.entry());
         }
+        reached(event.revision());
     }
 
-    /** Takes an entry unless a later change of its key is known; what is read ahead of the watch comes again by it. */
+    /**
+     * Reports an entry unless a later change of its key is known; what is read ahead of the watch comes again by it.
+     *
+     * @return whether the listener has taken the last change of the key
+     */
     private boolean put(KvEntry entry) {
         KvEntry known = entries.get(entry.key());
         boolean outdated = known != null && entry.modRevision() <= known.modRevision()
                 || entry.modRevision() <= deleted.getOrDefault(entry.key(), Long.MIN_VALUE);
         if (outdated) {
-            return true;
+            return !notTaken.contains(entry.key());
         }
-        if (!loop.turn(() -> listener.put(entry))) {
-            notTaken.failed(entry.key(), entry.modRevision(), MonotonicClock.nowMs());
-            return false;
-        }
-        notTaken.settled(entry.key(), MonotonicClock.nowMs());
         entries.put(entry.key(), entry);
         missing.remove(entry.key());
         deleted.remove(entry.key());
-        return true;
+        return report(entry.key());
     }
 
     /** A deletion from before the known entry was written tells nothing; the entry was read ahead of the watch. */
-    private boolean deleteUnlessNewer(String key, long revision) {
+    private void deleteUnlessNewer(String key, long revision) {
         KvEntry known = entries.get(key);
-        return known != null && known.modRevision() > revision || delete(key, revision);
+        if (known == null || known.modRevision() <= revision) {
+            delete(key, revision);
+        }
     }
 
-    private boolean delete(String key, long revision) {
-        boolean unreported = entries.containsKey(key) && !deleted.containsKey(key);
-        if (unreported && !loop.turn(() -> listener.deleted(key))) {
-            notTaken.failed(key, revision, MonotonicClock.nowMs());
-            return false;
-        }
-        notTaken.settled(key, MonotonicClock.nowMs());
-        entries.remove(key);
+    private void delete(String key, long revision) {
+        boolean unreported = entries.remove(key) != null && !deleted.containsKey(key);
         if (deleted.size() == MAX_DELETED && !deleted.containsKey(key)) {
             deletionsUnknownTo = Math.max(completeTo, revision);
         }
         deleted.merge(key, revision, Math::max);
-        return true;
+        if (unreported) {
+            report(key);
+        }
+    }
+
+    /** Reports the last change of a key; returns whether the listener has taken it. */
+    private boolean report(String key) {
+        KvEntry entry = deleted.containsKey(key) ? null : entries.get(key);
+        boolean taken = loop.turn(entry == null ? () -> listener.deleted(key) : () -> listener.put(entry));
+        if (taken) {
+            notTaken.settled(key, MonotonicClock.nowMs());
+        } else {
+            notTaken.failed(key, entry == null ? completeTo : entry.modRevision(), MonotonicClock.nowMs());
+            loop.turn(() -> listener.notTaken(key));
+            repeatLater();
+        }
+        return taken;
+    }
+
+    private void repeatLater() {
+        if (!repeatScheduled) {
+            repeatScheduled = true;
+            vertx.setTimer(RETRY_MS << Math.min(MAX_DOUBLINGS, failedRepeats), t -> repeat());
+        }
+    }
+
+    /** Reports again what the listener has failed to take. */
+    private void repeat() {
+        repeatScheduled = false;
+        failedRepeats++;
+        notTaken.longestAgo(MAX_REPEATED).forEach(this::report);
+        if (revisionNotTaken) {
+            reportRevision(completeTo);
+        }
+        if (notTaken.count() > 0) {
+            repeatLater();
+        } else if (!revisionNotTaken) {
+            failedRepeats = 0;
+        }
     }
 }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -57,6 +57,11 @@
             failIfAsked("reached");
         }
 
+        @Override
+        public void notTaken(String key) {
+            reported.add(key + " not taken");
+        }
+
         @Override
         public void restored() {
             reported.add("restored");
@@ -327,6 +332,67 @@
             awaitReported("other=2", 10 * RECOVERY_MS);
         }
 
+        /** Guards against changes of other keys that wait until the service is read again. */
+        @Test
+        void otherChangesAreReportedAtOnceWhileItFails() {
+            fail("kept=", Integer.MAX_VALUE);
+            for (int i = 2; i < 10; i++) {
+                store.write("kept", Integer.toString(i));
+                store.write("other", Integer.toString(i));
+                store.deliver();
+                assertThat(reported.getLast(), is("other=" + i));
+            }
+        }
+
+        /** Guards against a first read that never ends because of one key, and with it no watch. */
+        @Test
+        void aMirrorThatStartsMeanwhileFollowsTheOthers() {
+            fail("kept=", Integer.MAX_VALUE);
+            KvMirror started = KvMirror.create(vertx, store, "", new Recorder());
+            assertThat(started.start().isComplete(), is(true));
+            assertThat(started.completeTo(), is(store.range("").result().revision()));
+            reported.clear();
+            store.write("other", "1");
+            store.deliver();
+            assertThat(reported, contains("other=1", "other=1"));
+        }
+
+        /** Guards against other ways to a change that are refused because of another key. */
+        @Test
+        void otherWaysAreOpenWhileItFails() {
+            KvMirror behind = KvMirror.create(vertx, store, "", new Recorder());
+            behind.start();
+            fail("kept=", Integer.MAX_VALUE);
+            store.write("kept", "2");
+            store.write("other", "1");
+            assertThat("key", behind.take("other", store.range("other").result()), is(true));
+            assertThat("range", behind.takeRange("", store.range("").result()), is(true));
+            assertThat("key that fails", behind.take("kept", store.range("kept").result()), is(false));
+            assertThat(behind.state().keysNotTaken(), contains("kept"));
+            assertThat(
+                    "changes",
+                    behind.takeChanges(behind.changesSince(behind.completeTo()).orElseThrow()),
+                    is(true));
+        }
+
+        /** Guards against a failure of the listener that nobody sees, or that lasts beyond its cause. */
+        @Test
+        void aFailureIsToldUntilItIsOver() {
+            KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
+            mirror.start();
+            fail("kept=2", 4);
+            store.write("kept", "2");
+            store.deliver();
+            assertThat(mirror.state().notTaken(), is(1));
+            assertThat(reported, hasItem("kept not taken"));
+            awaitReported("kept=2", RECOVERY_MS);
+            long untilMs = System.currentTimeMillis() + RECOVERY_MS;
+            while (mirror.state().notTaken() > 0 && System.currentTimeMillis() < untilMs) {
+                sleep(20);
+            }
+            assertThat(mirror.state().notTaken(), is(0));
+        }
+
         @Test
         void tenFailuresInARowAreOutlived() {
             fail("kept=2", 10);
