JSON of others is parsed to a fixed depth, on any stack

BoundedJson counts the nesting before it parses, and rejects text of more than 64 levels as one that is no JSON.

--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/AgentNode.java
@@ -21,6 +21,7 @@
 import org.onyxhinge.core.schedule.EngineInfo;
 import org.onyxhinge.runtime.StatusEndpoints;
 import org.onyxhinge.runtime.server.StatusServer;
+import org.onyxhinge.wire.BoundedJson;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.http.BoundedBody;
 import org.onyxhinge.wire.kv.KvClient;
@@ -145,7 +146,7 @@
         pollInProgress = true;
         target.request(loadRequest())
                 .compose(req -> req.send().compose(resp -> BoundedBody.read(resp, MAX_LOAD_BYTES)))
-                .map(body -> onLoad(new JsonObject(body)))
+                .map(body -> onLoad(BoundedJson.object(body.toString())))
                 .onComplete(r -> pollInProgress = false)
                 .onFailure(this::onLoadFailure);
     }
--- a/onyxhinge-agent/src/main/java/org/onyxhinge/agent/VmStateMonitor.java
+++ b/onyxhinge-agent/src/main/java/org/onyxhinge/agent/VmStateMonitor.java
@@ -5,7 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.json.JsonObject;
+import org.onyxhinge.wire.BoundedJson;
 import org.onyxhinge.wire.http.BoundedBody;
 
 /**
@@ -45,7 +45,7 @@
     private void poll() {
         http.request(HttpMethod.GET, settings.vmListPort(), settings.vmListHost(), "/vms/" + settings.vmId())
                 .compose(req -> req.send().compose(resp -> BoundedBody.read(resp, MAX_STATE_BYTES)))
-                .map(body -> new JsonObject(body).getString("state", ""))
+                .map(body -> BoundedJson.object(body.toString()).getString("state", ""))
                 .onSuccess(this::onState);
     }
 
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/dispatch/Dispatcher.java
@@ -21,6 +21,7 @@
 import org.onyxhinge.router.connection.GatedHttpClient;
 import org.onyxhinge.router.connection.ResponseReader;
 import org.onyxhinge.runtime.ReadBarrier;
+import org.onyxhinge.wire.BoundedJson;
 import org.onyxhinge.wire.MonotonicClock;
 import org.onyxhinge.wire.http.BoundedBody;
 import org.onyxhinge.wire.http.InterimResponses;
@@ -233,7 +234,7 @@
             return;
         }
         try {
-            JsonObject chunk = new JsonObject(data);
+            JsonObject chunk = BoundedJson.object(data);
             JsonArray choices = chunk.getJsonArray("choices", new JsonArray());
             JsonObject choice = choices.isEmpty() ? new JsonObject() : choices.getJsonObject(0);
             String content = choice.getJsonObject("delta", new JsonObject()).getString("content");
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/http/RequestReader.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/http/RequestReader.java
@@ -7,6 +7,7 @@
 import io.vertx.core.json.JsonObject;
 import org.onyxhinge.core.schedule.Refusal;
 import org.onyxhinge.core.schedule.RefusalReason;
+import org.onyxhinge.wire.BoundedJson;
 
 /**
  * Parses a caller's HTTP request into a {@link CallerRequest}, or into a {@link
@@ -99,7 +100,7 @@
 
     private static Either<Refusal, JsonObject> parseJson(String bodyText) {
         try {
-            return Either.right(new JsonObject(bodyText));
+            return Either.right(BoundedJson.object(bodyText));
         } catch (DecodeException | ClassCastException e) {
             return badRequest("body is not a JSON object");
         }
