MessagePack of others takes no memory and no stack beyond its length

Lengths of bytes are checked against the largest frame; fields of types that no configuration object has are skipped, which needs neither.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/config/ConfigCodec.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/config/ConfigCodec.java
@@ -8,7 +8,6 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.value.Value;
 import org.onyxhinge.core.model.Pool;
 import org.onyxhinge.core.model.Service;
 import org.onyxhinge.core.model.ServiceKind;
@@ -71,12 +70,8 @@
 
     /** Decodes the stored value of an object of the given kind; throws {@link WireException} if it is malformed. */
     public static Stored decode(ConfigKind kind, byte[] bytes) {
-        Map<String, Value> f = new HashMap<>();
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
-            int n = u.unpackMapHeader();
-            for (int i = 0; i < n; i++) {
-                f.put(u.unpackString(), u.unpackValue());
-            }
+            Map<String, Object> f = readFields(u);
             Record value = switch (kind) {
                 case TIER ->
                     new Tier(
@@ -91,11 +86,11 @@
                             stringField(f, "name"),
                             ServiceKind.valueOf(stringField(f, "kind")),
                             stringField(f, "pool"),
-                            f.get("nonIdempotent").asBooleanValue().getBoolean());
+                            booleanField(f, "nonIdempotent"));
                 case POOL -> new Pool(stringField(f, "name"), stringField(f, "model"));
             };
             return new Stored(value, f.containsKey(OPERATION_ID_FIELD) ? stringField(f, OPERATION_ID_FIELD) : "");
-        } catch (IOException | MessagePackException | IllegalArgumentException | NullPointerException e) {
+        } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new WireException("malformed " + kind + " configuration: " + e.getMessage(), e);
         }
     }
@@ -110,11 +105,38 @@
         }
     }
 
-    private static String stringField(Map<String, Value> f, String key) {
-        return f.get(key).asStringValue().asString();
+    /** Reads the fields of the types that objects have; others are skipped, whatever they hold. */
+    private static Map<String, Object> readFields(MessageUnpacker u) throws IOException {
+        Map<String, Object> fields = new HashMap<>();
+        int n = u.unpackMapHeader();
+        for (int i = 0; i < n; i++) {
+            String name = u.unpackString();
+            switch (u.getNextFormat().getValueType()) {
+                case STRING -> fields.put(name, u.unpackString());
+                case INTEGER -> fields.put(name, u.unpackLong());
+                case BOOLEAN -> fields.put(name, u.unpackBoolean());
+                default -> u.skipValue();
+            }
+        }
+        return fields;
+    }
+
+    private static String stringField(Map<String, Object> f, String key) {
+        return field(f, key, String.class);
     }
 
-    private static long longField(Map<String, Value> f, String key) {
-        return f.get(key).asIntegerValue().asLong();
+    private static long longField(Map<String, Object> f, String key) {
+        return field(f, key, Long.class);
+    }
+
+    private static boolean booleanField(Map<String, Object> f, String key) {
+        return field(f, key, Boolean.class);
+    }
+
+    private static <T> T field(Map<String, Object> f, String key, Class<T> type) {
+        if (!type.isInstance(f.get(key))) {
+            throw new IllegalArgumentException(key + " is missing or no " + type.getSimpleName());
+        }
+        return type.cast(f.get(key));
     }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvCodec.java
@@ -8,6 +8,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.onyxhinge.wire.frame.BinaryField;
 import org.onyxhinge.wire.frame.WireException;
 
 /**
@@ -78,7 +79,8 @@
                 case GET -> new KvMessage.Get(u.unpackLong(), u.unpackString());
                 case RANGE -> new KvMessage.Range(u.unpackLong(), u.unpackString());
                 case PUT ->
-                    new KvMessage.Put(u.unpackLong(), u.unpackString(), readBytes(u), u.unpackLong(), u.unpackLong());
+                    new KvMessage.Put(
+                            u.unpackLong(), u.unpackString(), BinaryField.read(u), u.unpackLong(), u.unpackLong());
                 case DELETE -> new KvMessage.Delete(u.unpackLong(), u.unpackString(), u.unpackLong());
                 case WATCH -> new KvMessage.Watch(u.unpackLong(), u.unpackString(), u.unpackLong());
                 case GRANT -> new KvMessage.LeaseGrant(u.unpackLong(), u.unpackLong());
@@ -147,11 +149,6 @@
 
     private static KvEntry readEntry(MessageUnpacker u) throws IOException {
         u.unpackArrayHeader();
-        return new KvEntry(u.unpackString(), readBytes(u), u.unpackLong(), u.unpackLong(), u.unpackLong());
-    }
-
-    private static byte[] readBytes(MessageUnpacker u) throws IOException {
-        int n = u.unpackBinaryHeader();
-        return u.readPayload(n);
+        return new KvEntry(u.unpackString(), BinaryField.read(u), u.unpackLong(), u.unpackLong(), u.unpackLong());
     }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/StoreRelayCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/StoreRelayCodec.java
@@ -8,6 +8,7 @@
 
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.onyxhinge.wire.frame.BinaryField;
 import org.onyxhinge.wire.frame.WireException;
 import org.onyxhinge.wire.kv.KvChanges;
 import org.onyxhinge.wire.kv.KvEntry;
@@ -60,7 +61,7 @@
         List<KvEntry> entries = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             String key = u.unpackString();
-            byte[] value = u.readPayload(u.unpackBinaryHeader());
+            byte[] value = BinaryField.read(u);
             entries.add(new KvEntry(key, value, u.unpackLong(), u.unpackLong(), u.unpackLong()));
         }
         return entries;
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/DecoderProperties.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.wire;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 import org.onyxhinge.core.order.Order;
 import org.onyxhinge.core.order.OrderKind;
 import org.onyxhinge.core.order.OrderStatus;
@@ -31,6 +34,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
  * Fuzz tests of the decoders for network input: any byte string either decodes or throws {@link WireException}, never
@@ -220,4 +224,16 @@
         KvMessage.Delete delete = new KvMessage.Delete(callId, key, version);
         assertThat(KvCodec.decode(KvCodec.encode(delete)), equalTo(delete));
     }
+
+    /** Guards against memory taken for bytes that a message only announces, which would end the process. */
+    @Example
+    void announcedBytesTakeNoMemory() throws IOException {
+        MessageBufferPacker reply = MessagePack.newDefaultBufferPacker();
+        reply.packArrayHeader(8).packInt(24).packLong(1).packLong(2).packLong(3).packLong(4);
+        reply.packBoolean(false).packArrayHeader(1).packString("k").packBinaryHeader(Integer.MAX_VALUE);
+        assertThrows(WireException.class, () -> PeerCodec.decode(reply.toByteArray()));
+        MessageBufferPacker put = MessagePack.newDefaultBufferPacker();
+        put.packArrayHeader(6).packInt(3).packLong(1).packString("k").packBinaryHeader(Integer.MAX_VALUE);
+        assertThrows(WireException.class, () -> KvCodec.decode(put.toByteArray()));
+    }
 }
