A peer message that cannot be read or taken costs only itself

A message that could not be decoded closed the link between two routers, and did again after each reconnect, as with a type that only a newer version knows; all other messages of that router were lost with it. An error while a message was handled left those behind it in the same read unhandled until more was received.

Frames have lengths, so the next one is found anyway: an unreadable message on a connection that has carried a readable one is dropped and logged (at powers of two). A first message that cannot be read, and an impossible length, close the connection as before.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerConnection.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/peer/PeerConnection.java
@@ -6,12 +6,14 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import org.jboss.logging.Logger;
+import org.onyxhinge.wire.Loop;
 import org.onyxhinge.wire.frame.FrameReader;
 import org.onyxhinge.wire.frame.WireException;
 
 /**
- * Either end of a TCP connection between a router and an agent or another router. A frame that cannot be decoded
- * closes only this connection. If the peer reads too slowly, messages are dropped to bound memory; this is safe
+ * Either end of a TCP connection between a router and an agent or another router. A frame of an impossible length, or a
+ * first message that cannot be decoded, closes only this connection; a later one of these costs only itself, as it may
+ * come from a peer of a newer version. If the peer reads too slowly, messages are dropped to bound memory; this is safe
  * because load reports are only hints and every request has a timeout.
  */
 public final class PeerConnection implements AutoCloseable {
@@ -21,6 +23,9 @@
     private final NetSocket socket;
     private final PeerTraffic traffic;
     private final Consumer<PeerMessage> received;
+    private final Loop loop = Loop.named("messages of a peer");
+    private boolean understood;
+    private long unreadable;
 
     private PeerConnection(NetSocket socket, PeerTraffic traffic, Consumer<PeerMessage> received) {
         this.socket = socket;
@@ -78,10 +83,25 @@
         try {
             message = PeerCodec.decode(body.getBytes());
         } catch (WireException e) {
+            messageUnreadable(e);
+            return;
+        }
+        understood = true;
+        // The next message in what has been read does not wait for more to be received.
+        loop.turn(() -> received.accept(message));
+    }
+
+    private void messageUnreadable(WireException e) {
+        if (!understood) {
             reject(e);
             return;
         }
-        received.accept(message);
+        unreadable++;
+        if (Long.bitCount(unreadable) == 1) {
+            LOG.warnf(
+                    "peer message unreadable remote=%s count=%d error=%s",
+                    socket.remoteAddress(), unreadable, e.getMessage());
+        }
     }
 
     private void reject(WireException e) {
