An agent's address that cannot be read keeps a router from no other agent

It is parsed as it is read, and rejected with a line.

AgentConnectionsTest#agentsBesideUnreadableOnesAreConnected.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnection.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnection.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import org.jboss.logging.Logger;
+import org.onyxhinge.runtime.HostPort;
 import org.onyxhinge.wire.peer.PeerConnection;
 import org.onyxhinge.wire.peer.PeerMessage;
 import org.onyxhinge.wire.peer.PeerTraffic;
@@ -24,7 +25,7 @@
     private final AgentMessageListener listener;
     private final String routerId;
     private final String engineId;
-    private String address;
+    private HostPort address;
     private PeerConnection connection;
     private long backoffMs = INITIAL_BACKOFF_MS;
     private boolean closed;
@@ -36,7 +37,7 @@
             AgentMessageListener listener,
             String routerId,
             String engineId,
-            String address) {
+            HostPort address) {
         this.vertx = vertx;
         this.net = net;
         this.traffic = traffic;
@@ -52,7 +53,7 @@
     }
 
     /** Sets the address for the next connect; an established connection is kept. */
-    void updateAddress(String newAddress) {
+    void updateAddress(HostPort newAddress) {
         if (!newAddress.equals(address)) {
             address = newAddress;
             backoffMs = INITIAL_BACKOFF_MS;
@@ -80,10 +81,7 @@
         if (closed) {
             return;
         }
-        int colon = address.lastIndexOf(':');
-        net.connect(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
-                .onSuccess(this::onConnected)
-                .onFailure(e -> scheduleReconnect());
+        net.connect(address.port(), address.host()).onSuccess(this::onConnected).onFailure(e -> scheduleReconnect());
     }
 
     private void onConnected(NetSocket socket) {
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
@@ -1,6 +1,5 @@
 package org.onyxhinge.router.peer;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +12,8 @@
 import io.vertx.core.net.NetClientOptions;
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.subset.RendezvousHash;
+import org.onyxhinge.core.text.LogText;
+import org.onyxhinge.runtime.HostPort;
 import org.onyxhinge.wire.kv.KvClient;
 import org.onyxhinge.wire.kv.KvEntry;
 import org.onyxhinge.wire.kv.KvKeys;
@@ -41,7 +42,7 @@
     private final String routerId;
     private final int maxPerPool;
     private final PeerTraffic traffic = new PeerTraffic();
-    private final Map<String, Map<String, String>> addressesByPool = new TreeMap<>();
+    private final Map<String, Map<String, HostPort>> addressesByPool = new TreeMap<>();
     private final Map<String, Map<String, AgentConnection>> connectionsByPool = new HashMap<>();
     private final Set<String> changedPools = new HashSet<>();
     private final long reselectTimer;
@@ -95,10 +96,14 @@
     @Override
     public void put(KvEntry entry) {
         AgentKey key = AgentKey.parse(entry.key());
-        addressesByPool
-                .computeIfAbsent(key.pool(), p -> new TreeMap<>())
-                .put(key.engineId(), new String(entry.value(), StandardCharsets.UTF_8));
         changedPools.add(key.pool());
+        Map<String, HostPort> addresses = addressesByPool.computeIfAbsent(key.pool(), p -> new TreeMap<>());
+        try {
+            addresses.put(key.engineId(), HostPort.parse("address", entry.text()));
+        } catch (IllegalArgumentException e) {
+            LOG.errorf("agent rejected key=%s error=%s", LogText.of(entry.key()), LogText.of(e.getMessage()));
+            addresses.remove(key.engineId());
+        }
     }
 
     @Override
@@ -133,7 +138,7 @@
      * connected but no longer registered remain candidates.
      */
     private void selectAgents(String pool) {
-        Map<String, String> addresses = addressesByPool.getOrDefault(pool, Map.of());
+        Map<String, HostPort> addresses = addressesByPool.getOrDefault(pool, Map.of());
         Map<String, AgentConnection> connections = connectionsByPool.computeIfAbsent(pool, p -> new TreeMap<>());
         Set<String> candidates = new HashSet<>(addresses.keySet());
         connections.forEach((engineId, connection) -> {
@@ -150,7 +155,7 @@
             return false;
         });
         for (String engineId : selected) {
-            String address = addresses.get(engineId);
+            HostPort address = addresses.get(engineId);
             AgentConnection connection = connections.get(engineId);
             if (connection != null && address != null) {
                 connection.updateAddress(address);
