An entry that one reply of the store hides is read again

An item without a readable value or revision stood for an empty entry at the store's present revision, so the same entry, read properly a moment later at its own, lower revision, was taken for outdated. After one such reply op/config stayed rejected until the next version (no confirmation, API keys refused after 3.5 s), and an engine stayed out of use until it wrote again.

The revision of such an entry is not known: whatever is read after it replaces it, nothing that was read before does. Until then the key counts as not taken (log, dump, gauges), its target is out of use, a configuration is not confirmed, and all is read again after 0.2 s, then twice as late each time, up to 51 s, beside the watch.

KvMirrorTest$UnreadableDescription, three new cases.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.text.LogText;
@@ -63,14 +64,14 @@
         return byKey.values().stream().mapToLong(f -> nowMs - f.sinceMs()).max().orElse(0);
     }
 
-    /** Some of the keys. */
-    List<String> keys() {
-        return longestAgo(MAX_NAMED);
+    /** The keys, the one whose last attempt was longest ago first. */
+    Stream<String> keys() {
+        return byKey.keySet().stream();
     }
 
-    /** The keys whose last attempts were longest ago, at most {@code count}. */
-    List<String> longestAgo(int count) {
-        return byKey.keySet().stream().limit(count).toList();
+    /** Some of the keys, for the log and the state dump. */
+    List<String> someKeys() {
+        return keys().limit(MAX_NAMED).toList();
     }
 
     boolean contains(String key) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -34,6 +35,9 @@
     /** The pause between attempts that the listener fails to take is doubled this many times at most. */
     private static final int MAX_DOUBLINGS = 4;
 
+    /** The same of the pause between reads of entries that the service does not describe readably. */
+    private static final int MAX_READ_DOUBLINGS = 8;
+
     /** Changes that are reported again at a time; each failure is logged with its stack. */
     private static final int MAX_REPEATED = 16;
 
@@ -65,6 +69,8 @@
     private int failedLoads;
     private int failedRepeats;
     private boolean repeatScheduled;
+    private int failedReads;
+    private boolean readScheduled;
     /** Whether the listener has failed to take the revision that was reached last. */
     private boolean revisionNotTaken;
 
@@ -96,8 +102,8 @@
         void revisionReached(long revision);
 
         /**
-         * The call that reported the last change of a key has failed; what was known of the key no longer holds. It
-         * will be reported again.
+         * The last change of a key could not be read, or the call that reported it has failed; what was known of the
+         * key no longer holds. The change will be reported again.
          */
         default void notTaken(String key) {}
 
@@ -144,7 +150,7 @@
                 reply.entries().stream().filter(e -> e.key().equals(key)).findFirst();
         return read.isPresent()
                 && isOfThisEpoch(reply.revision())
-                && put(read.get())
+                && put(read.get(), reply.revision())
                 && !deleted.containsKey(key)
                 && entries.get(key).modRevision() == read.get().modRevision();
     }
@@ -160,7 +166,7 @@
             return false;
         }
         Set<String> present = reply.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
-        reply.entries().forEach(this::put);
+        reply.entries().forEach(entry -> put(entry, reply.revision()));
         deleteAbsent(part, present, reply.revision());
         return true;
     }
@@ -177,7 +183,7 @@
                 epoch,
                 notTaken.count(),
                 notTaken.oldestMs(MonotonicClock.nowMs()),
-                notTaken.keys());
+                notTaken.someKeys());
     }
 
     /**
@@ -209,7 +215,7 @@
         if (!isOfThisEpoch(changes.revision())) {
             return false;
         }
-        changes.entries().forEach(this::put);
+        changes.entries().forEach(entry -> put(entry, changes.revision()));
         changes.deleted().forEach(this::deleteUnlessNewer);
         if (changes.whole()) {
             Set<String> present = changes.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
@@ -286,9 +292,9 @@
             LOG.warnf("kv service restored prefix=%s epoch=%d keysMissing=%d", prefix, newEpoch, absent.size());
             listener.restored();
             awaitRewrite(absent, newEpoch);
-            reply.entries().forEach(this::putFromCopy);
+            reply.entries().forEach(entry -> putFromCopy(entry, reply.revision()));
         } else {
-            reply.entries().forEach(this::put);
+            reply.entries().forEach(entry -> put(entry, reply.revision()));
         }
         absent.removeAll(missing);
         absent.forEach(key -> deleteUnlessNewer(key, reply.revision()));
@@ -307,12 +313,12 @@
     }
 
     /** A key that had been deleted is in the copy only because the copy is older; its next write is reported. */
-    private void putFromCopy(KvEntry entry) {
+    private void putFromCopy(KvEntry entry, long readRevision) {
         if (deleted.containsKey(entry.key())) {
             LOG.infof("kv entry ignored key=%s why=\"deleted before the restore\"", entry.key());
             entries.put(entry.key(), entry);
         } else {
-            put(entry);
+            put(entry, readRevision);
         }
     }
 
@@ -320,7 +326,7 @@
         if (event.deleted()) {
             deleteUnlessNewer(event.entry().key(), event.revision());
         } else {
-            put(event.entry());
+            put(event.entry(), event.revision());
         }
         reached(event.revision());
     }
@@ -328,13 +334,11 @@
     /**
      * Reports an entry unless a later change of its key is known; what is read ahead of the watch comes again by it.
      *
+     * @param readRevision revision of the service at which it was read
      * @return whether the listener has taken the last change of the key
      */
-    private boolean put(KvEntry entry) {
-        KvEntry known = entries.get(entry.key());
-        boolean outdated = known != null && entry.modRevision() <= known.modRevision()
-                || entry.modRevision() <= deleted.getOrDefault(entry.key(), Long.MIN_VALUE);
-        if (outdated) {
+    private boolean put(KvEntry entry, long readRevision) {
+        if (isOutdated(entry, readRevision)) {
             return !notTaken.contains(entry.key());
         }
         entries.put(entry.key(), entry);
@@ -343,6 +347,16 @@
         return report(entry.key());
     }
 
+    /** The revision of an entry that could not be read is not known; whatever was read after it replaces it. */
+    private boolean isOutdated(KvEntry entry, long readRevision) {
+        KvEntry known = entries.get(entry.key());
+        if (known != null && !known.isReadable()) {
+            return readRevision < known.modRevision();
+        }
+        return known != null && entry.modRevision() <= known.modRevision()
+                || entry.modRevision() <= deleted.getOrDefault(entry.key(), Long.MIN_VALUE);
+    }
+
     /** A deletion from before the known entry was written tells nothing; the entry was read ahead of the watch. */
     private void deleteUnlessNewer(String key, long revision) {
         KvEntry known = entries.get(key);
@@ -365,15 +379,48 @@
     /** Reports the last change of a key; returns whether the listener has taken it. */
     private boolean report(String key) {
         KvEntry entry = deleted.containsKey(key) ? null : entries.get(key);
-        boolean taken = loop.turn(entry == null ? () -> listener.deleted(key) : () -> listener.put(entry));
-        if (taken) {
-            notTaken.settled(key, MonotonicClock.nowMs());
-        } else {
-            notTaken.failed(key, entry == null ? completeTo : entry.modRevision(), MonotonicClock.nowMs());
-            loop.turn(() -> listener.notTaken(key));
+        if (entry != null && !entry.isReadable()) {
+            failed(key, entry.modRevision());
+            readLater();
+            return false;
+        }
+        if (!loop.turn(entry == null ? () -> listener.deleted(key) : () -> listener.put(entry))) {
+            failed(key, entry == null ? completeTo : entry.modRevision());
             repeatLater();
+            return false;
+        }
+        notTaken.settled(key, MonotonicClock.nowMs());
+        return true;
+    }
+
+    private void failed(String key, long revision) {
+        notTaken.failed(key, revision, MonotonicClock.nowMs());
+        loop.turn(() -> listener.notTaken(key));
+    }
+
+    private boolean isUnreadable(String key) {
+        return entries.containsKey(key) && !entries.get(key).isReadable();
+    }
+
+    /** Reads again what the service has not described readably. */
+    private void readLater() {
+        if (!readScheduled) {
+            readScheduled = true;
+            vertx.setTimer(RETRY_MS << Math.min(MAX_READ_DOUBLINGS, failedReads), t -> readAgain());
         }
-        return taken;
+    }
+
+    private void readAgain() {
+        readScheduled = false;
+        failedReads++;
+        if (notTaken.keys().noneMatch(this::isUnreadable)) {
+            failedReads = 0;
+            return;
+        }
+        loop.turn(() -> kv.range(prefix)
+                .onSuccess(reply -> takeRange("", reply))
+                .onFailure(e -> LOG.debugf("kv mirror read failed prefix=%s error=%s", prefix, e.getMessage())));
+        readLater();
     }
 
     private void repeatLater() {
@@ -387,14 +434,18 @@
     private void repeat() {
         repeatScheduled = false;
         failedRepeats++;
-        notTaken.longestAgo(MAX_REPEATED).forEach(this::report);
+        repeatable().limit(MAX_REPEATED).toList().forEach(this::report);
         if (revisionNotTaken) {
             reportRevision(completeTo);
         }
-        if (notTaken.count() > 0) {
+        if (revisionNotTaken || repeatable().findAny().isPresent()) {
             repeatLater();
-        } else if (!revisionNotTaken) {
+        } else {
             failedRepeats = 0;
         }
     }
+
+    private Stream<String> repeatable() {
+        return notTaken.keys().filter(key -> !isUnreadable(key));
+    }
 }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/FakeKvStore.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/FakeKvStore.java
@@ -19,6 +19,7 @@
     private long copyRevision;
     private volatile long epoch;
     private volatile long revision;
+    private volatile String undescribed = "";
 
     private static final class Watch {
         private final Handler<KvMessage.Event> events;
@@ -59,6 +60,15 @@
         put(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8), KvMessage.ANY, 0);
     }
 
+    /** Describes an entry in replies and events so that only its key can be read, or as it is again. */
+    void describeUnreadably(String key, boolean unreadably) {
+        undescribed = unreadably ? key : "";
+    }
+
+    private KvEntry described(KvEntry e) {
+        return e.key().equals(undescribed) ? KvEntry.unreadable(e.key(), now()) : e;
+    }
+
     void remove(String key) {
         delete(key, KvMessage.ANY);
     }
@@ -88,7 +98,8 @@
     }
 
     private Future<KvMessage.Reply> reply(List<KvEntry> read, long leaseId) {
-        return Future.succeededFuture(new KvMessage.Reply(0, KvStatus.OK, now(), read, leaseId));
+        List<KvEntry> described = read.stream().map(this::described).toList();
+        return Future.succeededFuture(new KvMessage.Reply(0, KvStatus.OK, now(), described, leaseId));
     }
 
     @Override
@@ -110,7 +121,7 @@
         revision++;
         KvEntry entry = new KvEntry(key, value, now(), now(), leaseId);
         entries.put(key, entry);
-        history.add(new KvMessage.Event(0, now(), false, entry));
+        history.add(new KvMessage.Event(0, now(), false, described(entry)));
         return reply(List.of(entry), leaseId);
     }
 
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -404,6 +404,60 @@
         }
     }
 
+    /** Guards against one reply or event with an entry that cannot be read, which hides the entry for good. */
+    @Nested
+    class UnreadableDescription {
+
+        private static final long READ_AGAIN_MS = 1_000;
+
+        private void awaitReported(String change) {
+            long untilMs = System.currentTimeMillis() + READ_AGAIN_MS;
+            while (!reported.contains(change) && System.currentTimeMillis() < untilMs) {
+                sleep(20);
+            }
+            assertThat(reported, hasItem(change));
+        }
+
+        @Test
+        void anEventThatCannotBeReadIsReadOtherwise() {
+            store.describeUnreadably("kept", true);
+            store.write("kept", "2");
+            store.deliver();
+            assertThat(reported, contains("kept not taken"));
+            store.describeUnreadably("kept", false);
+            awaitReported("kept=2");
+        }
+
+        @Test
+        void anEntryIsReadAgainThatOnlyOneReplyHides() {
+            KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
+            mirror.start();
+            store.write("other", "1");
+            store.deliver();
+            store.describeUnreadably("kept", true);
+            assertThat(mirror.take("kept", store.range("kept").result()), is(false));
+            store.describeUnreadably("kept", false);
+            reported.clear();
+            assertThat(mirror.take("kept", store.range("kept").result()), is(true));
+            assertThat(reported, contains("kept=1"));
+            assertThat(mirror.state().notTaken(), is(0));
+        }
+
+        /** Guards against an older reply that is taken because the newer one could not be read. */
+        @Test
+        void anOlderReplyDoesNotReplaceIt() {
+            KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
+            mirror.start();
+            KvMessage.Reply before = store.range("kept").result();
+            store.write("kept", "2");
+            store.describeUnreadably("kept", true);
+            mirror.take("kept", store.range("kept").result());
+            reported.clear();
+            assertThat(mirror.take("kept", before), is(false));
+            assertThat(reported, is(empty()));
+        }
+    }
+
     @Nested
     class Restore {
 
