Values that nobody uses are not kept, nor passed on to other routers

The mirror kept the value of every key, whoever had written it: 60 entries of 1 MB under any key take most of a router's 96 MB of heap, and one of 0.9 MB was enough that routers passed nothing on to those that the store does not serve ("too long").

The listener says whether the value of an entry it has been given is of use; the key and the revision of others are kept without it.

KvMirrorTest#valuesOfNoUseAreNotPassedOn.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvEntry.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvEntry.java
@@ -27,6 +27,11 @@
         return version != UNREADABLE;
     }
 
+    /** The same entry without its value. */
+    KvEntry withoutValue() {
+        return new KvEntry(key, NO_VALUE, version, modRevision, leaseId);
+    }
+
     /** The value decoded as UTF-8. */
     public String text() {
         return new String(value, StandardCharsets.UTF_8);
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -95,6 +95,14 @@
         /** A key was created or changed. */
         void put(KvEntry entry);
 
+        /**
+         * Whether the value of an entry that has just been put is of use. Others are forgotten: nobody passes them on,
+         * and another writer's may be many and large.
+         */
+        default boolean uses(KvEntry entry) {
+            return true;
+        }
+
         /** A key was deleted. */
         void deleted(String key);
 
@@ -390,6 +398,9 @@
             return false;
         }
         notTaken.settled(key, MonotonicClock.nowMs());
+        if (entry != null && !listener.uses(entry)) {
+            entries.put(key, entry.withoutValue());
+        }
         return true;
     }
 
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -14,6 +14,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
@@ -57,6 +58,11 @@
             failIfAsked("reached");
         }
 
+        @Override
+        public boolean uses(KvEntry entry) {
+            return !entry.key().equals("unused");
+        }
+
         @Override
         public void notTaken(String key) {
             reported.add(key + " not taken");
@@ -154,6 +160,20 @@
         }
     }
 
+    /** Guards against values of other writers that fill the memory, or the messages to other mirrors. */
+    @Test
+    void valuesOfNoUseAreNotPassedOn() {
+        KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
+        mirror.start();
+        store.write("unused", "x");
+        store.deliver();
+        assertThat(reported, hasItem("unused=x"));
+        List<KvEntry> entries = mirror.changesSince(0).orElseThrow().entries();
+        assertThat(
+                entries.stream().map(e -> e.key() + "=" + e.text()).toList(),
+                containsInAnyOrder("unused=", "kept=1", "gone=1"));
+    }
+
     /** Guards against what is read ahead of the watch, or by another mirror, and taken back by older news. */
     @Nested
     class OtherWays {
