Idle connections to targets hold no bodies

What callers saw: in bursts of uploads below maxBodyBytes routers ended by lack of heap, with all that they had passed on. Cause: the gate of a connection keeps the reader of the last call's identity until the next call, and that lambda referred to the attempt, so to the exchange and its body, which BodyMemory had released: it admitted new ones on top of up to one body for each idle connection.

The reader holds the protocol and the id only.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -147,10 +147,10 @@
             endNotSent("connection closed before the call was sent");
             return;
         }
-        connection.callSent(
-                owner.requestId(),
-                bodilessResponse(),
-                headers -> forwarder.protocol().readIdentity(headers, owner.requestId()));
+        // The connection keeps the reader while it lies idle, so it holds nothing of the exchange but the id.
+        CallProtocol protocol = forwarder.protocol();
+        String requestId = owner.requestId();
+        connection.callSent(requestId, bodilessResponse(), headers -> protocol.readIdentity(headers, requestId));
         sentAtMs = MonotonicClock.nowMs();
         lastByteAtMs = sentAtMs;
         r.exceptionHandler(this::connectionLost);
