What a target does not read is dropped with its call, and counted until then

What callers saw: with one engine of three that reads slowly, routers served next to nothing, also by the sound engines, and said that they were ready. Cause: a connection whose call had run out of time was closed by HttpConnection.close(), which first writes what is buffered, so up to 4 MB of direct memory each stayed for as long as the engine read slowly, while BodyMemory had released the body and admitted new ones, until the event loop waited for direct memory at each write.

- An attempt that ends without its response aborts its connection: the channel is closed without a flush, as SlowReaders does for callers.
- A request's body counts in BodyMemory until it is written or its connection is closed, also when the target has answered before it has read it.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ConnectionPipeline.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/ConnectionPipeline.java
@@ -35,6 +35,11 @@
         }
     }
 
+    /** Closes a connection without writing what is buffered, unlike {@link HttpConnection#close} and its channel. */
+    static void closeAtOnce(HttpConnection connection) {
+        http(connection).channelHandlerContext().close();
+    }
+
     /** Adds a handler that gets the decoded messages of a connection before the HTTP client does. */
     static void addBeforeClient(HttpConnection connection, ChannelHandler handler) {
         ChannelHandlerContext client = http(connection).channelHandlerContext();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/TargetConnection.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/connection/TargetConnection.java
@@ -69,11 +69,16 @@
         return carriedIds.admits(requestId, nowMs);
     }
 
-    /** Closes the connection. */
+    /** Closes the connection once everything has been written. */
     public void close() {
         http.close();
     }
 
+    /** Closes the connection at once: what is left to be written would stay in memory until the target reads it. */
+    public void abort() {
+        ConnectionPipeline.closeAtOnce(http);
+    }
+
     /** Whether it has been closed, by either side; what this router closes is told of as closed a moment later. */
     public boolean isClosed() {
         return closed || gate.unusableBecause().isPresent();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Attempt.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -158,7 +159,10 @@
         r.response().onSuccess(this::responseHead).onFailure(this::connectionLost);
         Buffer out = owner.body();
         boolean bodiless = out.length() == 0 && (r.getMethod() == HttpMethod.GET || r.getMethod() == HttpMethod.HEAD);
-        (bodiless ? r.end() : r.end(out)).onSuccess(v -> {
+        Future<Void> written = bodiless ? r.end() : r.end(out);
+        // What a target has not read stays in memory, even if it answers before.
+        owner.memory().keepDuring(written);
+        written.onSuccess(v -> {
             requestWritten = true;
             releaseIfComplete();
         });
@@ -459,7 +463,7 @@
         if (complete) {
             releaseIfComplete();
         } else if (connection != null) {
-            connection.close();
+            connection.abort();
         }
         forwarder.pumpSoon();
         return true;
