What a restart inherits on weak evidence is tried by one router

What callers saw: five of 13 engines crash one after the other while all prompts begin with the same part; both routers are killed half a second later and started again; from then on every request is answered 503 for 600 s. Cause: the stored record holds the crashes without the answers, so the routers that start from it take weak evidence for firm, and as the part is in every prompt, nothing can be answered that would refute it.

- The record also holds when the last answered calls of what is quarantined were sent, behind the crashes, where routers of the version before do not read; records without answers are read as before.
- A suspect that is quarantined only by crashes from before the start, on weak evidence, is tried: by the router with the lowest id of all that should be running, once it hears them all, one request at a time.
A whole answer refutes the crashes everywhere, another crash withholds it.
The other routers refuse with a second to come back instead of ten minutes.
So a part that really crashes engines reaches one more of them at a restart, where the rule on such parts allows three; firm evidence is withheld as before.

--- a/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
+++ b/onyxhinge-core/src/main/java/org/onyxhinge/core/quarantine/Quarantine.java
@@ -1,11 +1,15 @@
 package org.onyxhinge.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.onyxhinge.core.collect.BoundedMap;
 
@@ -61,13 +65,28 @@
     /** Until when no further trial of a suspect begins. */
     private final Map<Fingerprint, Long> trialUntilMs = new HashMap<>();
 
+    /** Suspects that are quarantined because of crashes before this start of the system, on weak evidence. */
+    private final Set<Fingerprint> inherited = new HashSet<>();
+
+    private final BooleanSupplier triesInherited;
     private long liftedAtMs = NEVER_MS;
 
-    private Quarantine() {}
+    private Quarantine(BooleanSupplier triesInherited) {
+        this.triesInherited = triesInherited;
+    }
 
     /** Creates an empty quarantine. */
     public static Quarantine create() {
-        return new Quarantine();
+        return create(() -> false);
+    }
+
+    /**
+     * Creates an empty quarantine.
+     *
+     * @param triesInherited whether this router is the one to try what was quarantined before the system started
+     */
+    public static Quarantine create(BooleanSupplier triesInherited) {
+        return new Quarantine(triesInherited);
     }
 
     /** What a crash says about a suspect, given when its last answered call was sent. */
@@ -119,6 +138,9 @@
         crashes.put(suspect, history);
         boolean known = history.involves(crash.incarnation());
         history.add(crash.incarnation(), crash.atMs());
+        if (!known) {
+            inherited.remove(suspect);
+        }
         if (!heldBefore && holds(suspect, nowMs)) {
             return Effect.QUARANTINED;
         }
@@ -173,6 +195,29 @@
         return refuted || weakened;
     }
 
+    /**
+     * Records that all known crashes of some suspects come from before the system started. No call with them is in
+     * progress that could refute these, and where the evidence is weak, as for a part that all prompts share, it takes
+     * an answer to do so: one router tries one request at a time, until there is an answer or another crash.
+     */
+    public void inherit(Collection<Fingerprint> suspects, long nowMs) {
+        suspects.stream().filter(s -> holds(s, nowMs) && !holdsFirmly(s, nowMs)).forEach(inherited::add);
+    }
+
+    /** Whether a crash of a suspect is known. */
+    public boolean isSuspected(Fingerprint suspect) {
+        return crashes.containsKey(suspect);
+    }
+
+    /** Whether something in a request is quarantined only because of crashes from before the system started. */
+    public boolean isInherited(Suspects request, long nowMs) {
+        return request.all().stream().anyMatch(s -> isInherited(s, nowMs));
+    }
+
+    private boolean isInherited(Fingerprint suspect, long nowMs) {
+        return inherited.contains(suspect) && !holdsFirmly(suspect, nowMs);
+    }
+
     /** Time since the last completely answered call of a suspect was sent, if still known. */
     public OptionalLong answeredAgoMs(Fingerprint suspect, long nowMs) {
         Long atMs = answeredSentAtMs.get(suspect);
@@ -224,7 +269,7 @@
     /**
      * Whether something else than a quarantined suspect of a request may be to blame: each of its crashes involved a
      * quarantined suspect that the request does not contain, or different requests with the suspect ran on targets that
-     * ended together.
+     * ended together, or the suspect is inherited and this router tries it.
      */
     private boolean isContested(Fingerprint suspect, Suspects request, long nowMs) {
         CrashHistory history = crashes.get(suspect);
@@ -232,6 +277,9 @@
         if (isPart && history.distinctTimes(i -> true, SIMULTANEOUS_MS) == 1) {
             return true;
         }
+        if (isInherited(suspect, nowMs) && triesInherited.getAsBoolean()) {
+            return true;
+        }
         List<CrashHistory> others = List.copyOf(crashes.keySet()).stream()
                 .filter(s -> !request.contain(s) && holds(s, nowMs))
                 .map(crashes::get)
@@ -335,6 +383,7 @@
     public void lift(long nowMs) {
         liftedAtMs = nowMs;
         crashes.clear();
+        inherited.clear();
         trialUntilMs.clear();
     }
 }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/CrashQuarantine.java
@@ -1,11 +1,13 @@
 package org.onyxhinge.router.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -52,7 +54,10 @@
     /** Maximum number of suspects whose names or reported answers are kept. */
     private static final int MAX_SUSPECTS = 4_096;
 
-    private final Quarantine quarantine = Quarantine.create();
+    /** Until the router that tries what was quarantined before the start has an answer. */
+    private static final long INHERITED_RETRY_MS = 1_000;
+
+    private final Quarantine quarantine;
     private final BrokenCalls brokenCalls = BrokenCalls.create();
     /** Ids of the parts that calls of this router named, by fingerprint. */
     private final Map<Fingerprint, String> partIds = BoundedMap.dropOldest(MAX_SUSPECTS);
@@ -71,13 +76,16 @@
      * @param connect connects to a target's address and fails if that is not possible
      * @param broadcast sends a message to every other router
      * @param quarantined called when a request or a part is quarantined, so that calls in progress are ended
+     * @param triesInherited whether this router is the one to try what was quarantined before the system started
      */
     CrashQuarantine(
             Vertx vertx,
             Function<Target, Future<Void>> connect,
             ForwardingMetrics metrics,
             Consumer<PeerMessage.RouterToRouter> broadcast,
-            Consumer<Fingerprint> quarantined) {
+            Consumer<Fingerprint> quarantined,
+            BooleanSupplier triesInherited) {
+        this.quarantine = Quarantine.create(triesInherited);
         this.vertx = vertx;
         this.connect = connect;
         this.metrics = metrics;
@@ -275,8 +283,11 @@
     /** Time until a quarantined request may be executed again. */
     long endsInMs(Suspects request) {
         long nowMs = MonotonicClock.nowMs();
-        return quarantine.decide(request, nowMs) == Quarantine.Decision.TRY
-                ? TRIAL_RETRY_MS
+        if (quarantine.decide(request, nowMs) == Quarantine.Decision.TRY) {
+            return TRIAL_RETRY_MS;
+        }
+        return quarantine.isInherited(request, nowMs)
+                ? INHERITED_RETRY_MS
                 : request.all().stream()
                         .mapToLong(s -> quarantine.endsInMs(s, nowMs))
                         .max()
@@ -339,7 +350,12 @@
 
     /** The record to be stored: the crashes of what is quarantined. */
     QuarantineRecord currentRecord() {
-        return QuarantineRecord.of(quarantine.crashesOfQuarantined(MonotonicClock.nowMs()), MonotonicClock.nowMs());
+        long nowMs = MonotonicClock.nowMs();
+        List<Crash> crashes = quarantine.crashesOfQuarantined(nowMs);
+        Map<Fingerprint, Long> answeredAgoMs = new HashMap<>();
+        crashes.forEach(c ->
+                quarantine.answeredAgoMs(c.suspect(), nowMs).ifPresent(agoMs -> answeredAgoMs.put(c.suspect(), agoMs)));
+        return QuarantineRecord.of(crashes, answeredAgoMs, nowMs);
     }
 
     /** Whether a stored record blames something that answers have cleared since. */
@@ -348,9 +364,17 @@
         return record.crashes(nowMs).stream().anyMatch(c -> quarantine.isRefuted(c, nowMs));
     }
 
-    /** Applies the crashes of a stored record. */
+    /** Applies the crashes of a stored record, and what speaks against them. */
     void restore(QuarantineRecord record) {
-        recordCrashes(record.crashes(MonotonicClock.nowMs()));
+        long nowMs = MonotonicClock.nowMs();
+        List<Crash> crashes = record.crashes(nowMs);
+        Set<Fingerprint> unknown = crashes.stream()
+                .map(Crash::suspect)
+                .filter(s -> !quarantine.isSuspected(s))
+                .collect(Collectors.toSet());
+        record.answeredAgoMs().forEach((suspect, agoMs) -> quarantine.answered(suspect, nowMs - agoMs));
+        recordCrashes(crashes);
+        quarantine.inherit(unknown, nowMs);
     }
 
     /** Lifts every quarantine, after its record was removed. */
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/Forwarder.java
@@ -116,8 +116,8 @@
                 network, settings, this::beginDelayMs, this::expectedBytes, () -> peers.hasOthersInDataCentre());
         this.callers = new CallerConnections(metrics, admission, callerServer);
         this.quotas = new WorkspaceQuotas(settings, MonotonicClock.nowMs());
-        this.crashQuarantine =
-                new CrashQuarantine(vertx, connections::probe, metrics, this::broadcast, calls::quarantined);
+        this.crashQuarantine = new CrashQuarantine(
+                vertx, connections::probe, metrics, this::broadcast, calls::quarantined, () -> peers.isFirstOfAll());
         this.targetLimits = new TargetRateLimits(placement, metrics, this::broadcast);
         this.rollouts = new Rollouts(this, settings.rollouts());
         this.repeats = settings.contention().repeatLimits() ? Optional.of(RepeatLimits.create()) : Optional.empty();
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/QuarantineRecord.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -18,8 +19,9 @@
  * The crashes of quarantined requests, as stored in the key-value service for routers that start later.
  *
  * @param entries the crashes
+ * @param answers the last complete answers to what is quarantined, without which all evidence would seem firm
  */
-record QuarantineRecord(List<Entry> entries) {
+record QuarantineRecord(List<Entry> entries, List<Answer> answers) {
 
     /** A crash takes about 50 bytes; a record with more entries than this was not written by a router. */
     private static final int MAX_ENTRIES = 16_384;
@@ -39,17 +41,51 @@
         }
     }
 
-    /** Copies the list. */
+    /**
+     * A complete answer to a quarantined suspect.
+     *
+     * @param suspect the request, or the part
+     * @param sentAtEpochMs when the answered call was sent, in epoch ms by the writer's clock
+     */
+    record Answer(Fingerprint suspect, long sentAtEpochMs) {}
+
+    /** Copies the lists. */
     QuarantineRecord {
         entries = List.copyOf(entries);
+        answers = List.copyOf(answers);
+    }
+
+    /** Creates a record without answers. */
+    QuarantineRecord(List<Entry> entries) {
+        this(entries, List.of());
     }
 
     /** Creates a record from crashes timed by the monotonic clock, whose current time is {@code nowMs}. */
     static QuarantineRecord of(List<Crash> crashes, long nowMs) {
+        return of(crashes, Map.of(), nowMs);
+    }
+
+    /**
+     * Creates a record like {@link #of(List, long)}.
+     *
+     * @param answeredAgoMs how long ago the last answered calls of suspects were sent
+     */
+    static QuarantineRecord of(List<Crash> crashes, Map<Fingerprint, Long> answeredAgoMs, long nowMs) {
+        long epochMs = System.currentTimeMillis();
+        return new QuarantineRecord(
+                crashes.stream()
+                        .map(c -> new Entry(c.suspect(), c.incarnation(), epochMs - (nowMs - c.atMs())))
+                        .toList(),
+                answeredAgoMs.entrySet().stream()
+                        .map(e -> new Answer(e.getKey(), epochMs - e.getValue()))
+                        .toList());
+    }
+
+    /** How long ago the answered calls were sent; future times are clamped to now. */
+    Map<Fingerprint, Long> answeredAgoMs() {
         long epochMs = System.currentTimeMillis();
-        return new QuarantineRecord(crashes.stream()
-                .map(c -> new Entry(c.suspect(), c.incarnation(), epochMs - (nowMs - c.atMs())))
-                .toList());
+        return answers.stream()
+                .collect(Collectors.toMap(Answer::suspect, a -> Math.max(0, epochMs - a.sentAtEpochMs()), Math::min));
     }
 
     /**
@@ -70,7 +106,7 @@
 
     /**
      * Encodes as MessagePack: the number of crashes, then for each the two halves of the fingerprint, the incarnation
-     * and the time.
+     * and the time; the same of the answers, without an incarnation, which routers of earlier versions do not read.
      */
     byte[] encode() {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -79,6 +115,10 @@
                 out.packLong(e.request().high()).packLong(e.request().low());
                 out.packString(e.incarnation()).packLong(e.atEpochMs());
             }
+            out.packArrayHeader(answers.size());
+            for (Answer a : answers) {
+                out.packLong(a.suspect().high()).packLong(a.suspect().low()).packLong(a.sentAtEpochMs());
+            }
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to an in-memory buffer failed", e);
@@ -97,7 +137,15 @@
                 Fingerprint request = new Fingerprint(in.unpackLong(), in.unpackLong());
                 entries.add(new Entry(request, in.unpackString(), in.unpackLong()));
             }
-            return Either.right(new QuarantineRecord(entries));
+            int answered = in.hasNext() ? in.unpackArrayHeader() : 0;
+            if (answered > MAX_ENTRIES) {
+                return Either.left("too many answers: " + answered);
+            }
+            List<Answer> answers = new ArrayList<>();
+            for (int i = 0; i < answered; i++) {
+                answers.add(new Answer(new Fingerprint(in.unpackLong(), in.unpackLong()), in.unpackLong()));
+            }
+            return Either.right(new QuarantineRecord(entries, answers));
         } catch (IOException | MessagePackException e) {
             return Either.left(e.toString());
         }
--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RouterPeers.java
@@ -51,8 +51,12 @@
      */
     private static final long REREGISTRATION_MS = 3_000;
 
+    /** Routers that start together have registered, and read of each other, by then. */
+    private static final long ALL_KNOWN_MS = 2_000;
+
     private final Vertx vertx;
     private final ForwardingSettings settings;
+    private final long startedAtMs = MonotonicClock.nowMs();
     private final long startId = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     private final Delegate delegate;
     private final ReadBarrier reads;
@@ -279,6 +283,14 @@
         return usageTracker.isLowestLiveId(settings.routerId(), MonotonicClock.nowMs());
     }
 
+    /**
+     * Whether this router has the lowest id of all that should be running; false while it may not know of some, or does
+     * not hear them.
+     */
+    boolean isFirstOfAll() {
+        return MonotonicClock.nowMs() - startedAtMs >= ALL_KNOWN_MS && heardPart() >= 1 && hasLowestLiveId();
+    }
+
     private void received(PeerMessage message) {
         switch (message) {
             case PeerMessage.Usage usage -> usageReceived(usage);
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/QuarantineRecordTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/QuarantineRecordTest.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.router.forward;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -27,6 +28,22 @@
         assertThat(QuarantineRecord.decode(record.encode()).get(), is(record));
     }
 
+    @Property(tries = 100, seed = "35")
+    void answersRoundTrip(@ForAll long low, @ForAll long sentAtEpochMs) {
+        QuarantineRecord record = new QuarantineRecord(
+                record(1, "a", 7).entries(),
+                List.of(new QuarantineRecord.Answer(new Fingerprint(1, low), sentAtEpochMs)));
+        assertThat(QuarantineRecord.decode(record.encode()).get(), is(record));
+    }
+
+    /** Guards against records of routers of the version before that cannot be read. */
+    @Test
+    void recordsWithoutAnswersAreRead() {
+        byte[] withEmptyList = record(1, "a", 7).encode();
+        byte[] before = Arrays.copyOf(withEmptyList, withEmptyList.length - 1);
+        assertThat(QuarantineRecord.decode(before).get(), is(record(1, "a", 7)));
+    }
+
     @Property(tries = 300, seed = "34")
     void decodesArbitraryBytesSafely(@ForAll byte[] bytes) {
         QuarantineRecord.decode(bytes).peek(r -> assertThat(r.entries().size() <= bytes.length, is(true)));
