An unreadable entry of another router replaces nothing that is known

KvMirrorTest: itIsNotTakenFromAnotherMirrorThatKnowsLess, new; one case of the same class reads ahead of the watch now, as its name says; and a restore while the listener fails to take an entry, which the finding had not tried: reported as usual.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -355,12 +355,18 @@
         return report(entry.key());
     }
 
-    /** The revision of an entry that could not be read is not known; whatever was read after it replaces it. */
+    /**
+     * The revision of an entry that could not be read is not known: whatever was read after it replaces it, and it tells
+     * nothing where all changes up to its reading are known.
+     */
     private boolean isOutdated(KvEntry entry, long readRevision) {
         KvEntry known = entries.get(entry.key());
         if (known != null && !known.isReadable()) {
             return readRevision < known.modRevision();
         }
+        if (known != null && !entry.isReadable() && entry.modRevision() <= completeTo) {
+            return true;
+        }
         return known != null && entry.modRevision() <= known.modRevision()
                 || entry.modRevision() <= deleted.getOrDefault(entry.key(), Long.MIN_VALUE);
     }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -453,7 +453,6 @@
             KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
             mirror.start();
             store.write("other", "1");
-            store.deliver();
             store.describeUnreadably("kept", true);
             assertThat(mirror.take("kept", store.range("kept").result()), is(false));
             store.describeUnreadably("kept", false);
@@ -463,6 +462,20 @@
             assertThat(mirror.state().notTaken(), is(0));
         }
 
+        /** Guards against a mirror that loses what it knows to one for which the entry could not be read. */
+        @Test
+        void itIsNotTakenFromAnotherMirrorThatKnowsLess() {
+            KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
+            mirror.start();
+            store.describeUnreadably("kept", true);
+            KvMirror other = KvMirror.create(vertx, store, "", new Recorder());
+            other.start();
+            reported.clear();
+            assertThat(mirror.takeChanges(other.changesSince(0).orElseThrow()), is(true));
+            assertThat(mirror.state().notTaken(), is(0));
+            assertThat(reported, is(empty()));
+        }
+
         /** Guards against an older reply that is taken because the newer one could not be read. */
         @Test
         void anOlderReplyDoesNotReplaceIt() {
@@ -500,6 +513,19 @@
             assertThat(reported, hasItem("kept=4"));
         }
 
+        /** Guards against a restore that is not seen because of one entry. */
+        @Test
+        void isReportedAlthoughTheListenerFailsToTakeAnEntry() {
+            restoreOlderCopy();
+            failing = "kept=";
+            failures.set(Integer.MAX_VALUE);
+            store.deliver();
+            assertThat(reported, contains("restored", "kept not taken"));
+            store.write("other", "1");
+            store.deliver();
+            assertThat(reported.getLast(), is("other=1"));
+        }
+
         @Test
         void deletedKeyIsReportedOnlyOnceItIsWrittenAgain() {
             restoreOlderCopy();
