--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/KeptConnectionMemoryTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/KeptConnectionMemoryTest.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -15,11 +14,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.router.forward.file.ForwardingSetup;
-import org.onyxhinge.router.forward.file.OnyxCallProtocol;
 import org.onyxhinge.router.forward.file.SingleTargetConfig;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
-import org.onyxhinge.runtime.ProcessNetwork;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -54,19 +51,7 @@
         ForwardingSetup setup = SingleTargetConfig.read(SingleTargetConfig.text(port, targetPort, "", "")
                 .replace("service = mailroom\n", "service = mailroom\nslots = 60\n")
                 .replace("[service mailroom]", "[service mailroom]\nmax_connections = 120"));
-        ConfigFreshness freshness = ConfigFreshness.within(TIMEOUT_MS * 10);
-        forwarder = Launch.await(
-                Forwarder.start(
-                        vertx,
-                        setup.settings(),
-                        new OnyxCallProtocol(),
-                        freshness,
-                        new MetricRegistry(),
-                        ProcessNetwork.create()),
-                TIMEOUT_MS);
-        setup.targets().forEach(forwarder.targets()::targetRegistered);
-        forwarder.configure(setup.config());
-        forwarder.confirmed(freshness.stampMs());
+        forwarder = StartedForwarder.of(vertx, setup);
     }
 
     @AfterEach
--- a/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/UnreadRequestTest.java
+++ b/onyxhinge-router/src/test/java/org/onyxhinge/router/forward/UnreadRequestTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
@@ -19,11 +18,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.onyxhinge.router.forward.file.ForwardingSetup;
-import org.onyxhinge.router.forward.file.OnyxCallProtocol;
 import org.onyxhinge.router.forward.file.SingleTargetConfig;
 import org.onyxhinge.runtime.Launch;
 import org.onyxhinge.runtime.Ports;
-import org.onyxhinge.runtime.ProcessNetwork;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -71,19 +68,7 @@
         ForwardingSetup setup = SingleTargetConfig.read(SingleTargetConfig.text(port, target.getLocalPort(), "", "")
                 .replace("service = mailroom\n", "service = mailroom\nslots = 60\n")
                 .replace("[service mailroom]", "timeout_ms = " + CALL_TIMEOUT_MS + "\n[service mailroom]"));
-        ConfigFreshness freshness = ConfigFreshness.within(TIMEOUT_MS * 10);
-        forwarder = Launch.await(
-                Forwarder.start(
-                        vertx,
-                        setup.settings(),
-                        new OnyxCallProtocol(),
-                        freshness,
-                        new MetricRegistry(),
-                        ProcessNetwork.create()),
-                TIMEOUT_MS);
-        setup.targets().forEach(forwarder.targets()::targetRegistered);
-        forwarder.configure(setup.config());
-        forwarder.confirmed(freshness.stampMs());
+        forwarder = StartedForwarder.of(vertx, setup);
     }
 
     @AfterEach
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -356,8 +356,8 @@
     }
 
     /**
-     * The revision of an entry that could not be read is not known: whatever was read after it replaces it, and it tells
-     * nothing where all changes up to its reading are known.
+     * The revision of an entry that could not be read is not known: whatever was read after it replaces it, and it
+     * tells nothing where all changes up to its reading are known.
      */
     private boolean isOutdated(KvEntry entry, long readRevision) {
         KvEntry known = entries.get(entry.key());
