Values of the store that are too long for their keys are dropped as they arrive

What callers saw: with 40 entries of 1,000,000 bytes of another writer at servers/, 59 of 300 calls were served when they were written at once, 40 of 300 when 50 ms apart, and the router ended by OutOfMemoryError (exit code 3); with 90 under nine prefixes it did not start.

Cause: a response was gathered (6 MB), copied, decoded to text and parsed as a whole before anything looked at the keys, several times its length at once in each of three clients, and a read of all keys gathered all its pages. Beyond 6 MB the watch gave way to a read of all keys, so that one writer cost all the others.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/BoundedBody.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/http/BoundedBody.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.wire.http;
 
 import java.io.IOException;
+import java.util.function.Predicate;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -20,8 +21,8 @@
 
         private static final long serialVersionUID = 1;
 
-        private TooLongException(int maxBytes) {
-            super("response body is longer than " + maxBytes + " bytes");
+        private TooLongException() {
+            super("response body is too long");
         }
     }
 
@@ -30,24 +31,29 @@
      * breaks. Must be called in the event of the response's head.
      */
     public static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
-        return read(response, maxBytes, () -> {});
+        Buffer body = Buffer.buffer();
+        Predicate<Buffer> reader = part -> {
+            boolean fits = body.length() + part.length() <= maxBytes;
+            if (fits) {
+                body.appendBuffer(part);
+            }
+            return fits;
+        };
+        return read(response, reader).map(v -> body);
     }
 
     /**
-     * Reads a body like {@link #read(HttpClientResponse, int)}.
+     * Reads a body like {@link #read(HttpClientResponse, int)}, without keeping it.
      *
-     * @param progress runs whenever a part of the body has arrived
+     * @param reader reads a part when it arrives; returns false if the body is too long with it
      */
-    public static Future<Buffer> read(HttpClientResponse response, int maxBytes, Runnable progress) {
-        Promise<Buffer> read = Promise.promise();
-        Buffer body = Buffer.buffer();
+    public static Future<Void> read(HttpClientResponse response, Predicate<Buffer> reader) {
+        Promise<Void> read = Promise.promise();
         response.exceptionHandler(read::tryFail);
-        response.endHandler(v -> read.tryComplete(body));
+        response.endHandler(v -> read.tryComplete());
         response.handler(part -> {
-            progress.run();
-            if (body.length() + part.length() <= maxBytes) {
-                body.appendBuffer(part);
-            } else if (read.tryFail(new TooLongException(maxBytes))) {
+            if (!read.future().isComplete() && !reader.test(part)) {
+                read.tryFail(new TooLongException());
                 response.request().connection().close();
             }
         });
