Changes are passed on to other routers beside odd entries and long records

What callers would see: a router that the store does not answer asks others for what has changed. Nothing was passed on once all of it did not fit into one message, so that the configuration and the targets stayed as old as that router's own last read: with 80 unreadable entries of 12,000 bytes under op/rollout/, status/rollout/ or onyxhinge/rollouts/, or with one usage or quarantine record of 1,000,000 bytes, each of another writer.

Change: entries about rollouts that cannot be read are of no use, as rejected registrations were before; of records beyond 16 KB only the key is passed on, so that it does not count as deleted. No decision waits for a record. The message has no new field: an older router takes such an entry for one that is older than what it knows.

KvMirrorTest: an entry of which only the key is told stays as it is.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutRecords.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/RolloutRecords.java
@@ -54,6 +54,11 @@
                 }));
     }
 
+    /** Whether bytes are a record of a service, as {@link #restore} takes it. */
+    public static boolean isReadable(byte[] bytes) {
+        return RolloutRecord.decode(bytes).isRight();
+    }
+
     /** Handles the removal of the routers' record of a service. */
     public void recordRemoved(String service) {
         context.runOnContext(v -> rollouts.recordRemoved(service));
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -223,7 +223,7 @@
         if (!isOfThisEpoch(changes.revision())) {
             return false;
         }
-        changes.entries().forEach(entry -> put(entry, changes.revision()));
+        changes.entries().stream().filter(entry -> !entry.isKeyOnly()).forEach(entry -> put(entry, changes.revision()));
         changes.deleted().forEach(this::deleteUnlessNewer);
         if (changes.whole()) {
             Set<String> present = changes.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -275,6 +275,19 @@
             assertThat(other.changesSince(other.completeTo()).orElseThrow().entries(), is(empty()));
         }
 
+        /** Guards against an entry that counts as deleted, or as changed, because it was too long to be passed on. */
+        @Test
+        void anEntryOfWhichOnlyTheKeyIsToldStaysAsItIs() {
+            store.write("new", "1");
+            KvChanges changes = otherMirror().changesSince(mirror.completeTo()).orElseThrow();
+            assertThat("it does not know all deletions since", changes.whole(), is(true));
+            assertThat(mirror.takeChanges(changes.withKeysOnly(e -> !e.key().equals("new"))), is(true));
+            assertThat(ahead, contains("new=1"));
+            store.write("kept", "2");
+            store.deliver();
+            assertThat(ahead, contains("new=1", "kept=2"));
+        }
+
         /** Guards against proofs of a mirror that does not know yet that the service was restored. */
         @Test
         void nothingIsPassedOnBetweenEpochs() {
