Key-value service: a range is read in pages that fit into a message

Two entries of 1 MB under one prefix were more: the client rejected the frame, closed the connection that all calls and watches share, and began anew with the same read, so that no agent was found and no settings were read.

Change: Range names the key after which to read, a reply says whether there is more, and KvClient reads all pages; the watch continues from the revision of the first one. Both fields come last and may be absent: a reader from before takes the first page for all. AgentConnections keeps no values beside the addresses.

Not mended: KvClient gathers all pages before a mirror sees the first.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
@@ -106,6 +106,12 @@
         }
     }
 
+    /** The addresses are kept here; other writers' values may be many and large. */
+    @Override
+    public boolean uses(KvEntry entry) {
+        return false;
+    }
+
     @Override
     public void deleted(String keyText) {
         AgentKey key = AgentKey.parse(keyText);
--- a/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
+++ b/onyxhinge-standins/src/main/java/org/onyxhinge/standins/kv/KvStandIn.java
@@ -41,6 +41,9 @@
     private static final int MAX_HISTORY_EVENTS = 50_000;
     private static final long EXPIRY_SCAN_MS = 50;
     private static final int MAX_VALUE_BYTES = 1 << 20;
+    private static final int MAX_PAGE_BYTES = 1 << 20;
+    /** The fields of an entry beside its key and its value. */
+    private static final int ENTRY_BYTES = 64;
 
     private final Vertx vertx;
     private final Context context;
@@ -185,12 +188,7 @@
         return switch (c) {
             case KvMessage.Get g ->
                 ok(g.callId(), data.containsKey(g.key()) ? List.of(data.get(g.key())) : List.of(), 0);
-            case KvMessage.Range r ->
-                ok(
-                        r.callId(),
-                        List.copyOf(data.subMap(r.prefix(), r.prefix() + Character.MAX_VALUE)
-                                .values()),
-                        0);
+            case KvMessage.Range r -> range(r);
             case KvMessage.Put p -> put(p);
             case KvMessage.Delete d -> delete(d);
             case KvMessage.Watch w -> watch(socket, w);
@@ -200,6 +198,22 @@
         };
     }
 
+    /** As many keys as fit into one reply; an entry of the largest size has one of its own. */
+    private KvMessage.Reply range(KvMessage.Range r) {
+        List<KvEntry> page = new ArrayList<>();
+        int bytes = 0;
+        String first = r.afterKey().isEmpty() ? r.prefix() : r.afterKey();
+        for (KvEntry entry : data.subMap(first, r.afterKey().isEmpty(), r.prefix() + Character.MAX_VALUE, false)
+                .values()) {
+            bytes += entry.key().length() + entry.value().length + ENTRY_BYTES;
+            if (bytes > MAX_PAGE_BYTES && !page.isEmpty()) {
+                return new KvMessage.Reply(r.callId(), KvStatus.OK, revision, page, 0, true);
+            }
+            page.add(entry);
+        }
+        return ok(r.callId(), page, 0);
+    }
+
     private KvMessage.Reply put(KvMessage.Put p) {
         KvEntry old = data.get(p.key());
         if (!isExpectedVersion(old, p.expectedVersion())) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
@@ -1,5 +1,6 @@
 package org.onyxhinge.wire.kv;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,7 +75,23 @@
 
     @Override
     public Future<KvMessage.Reply> range(String prefix) {
-        return call(id -> new KvMessage.Range(id, prefix));
+        return readPage(prefix, "", new ArrayList<>(), -1);
+    }
+
+    /**
+     * The pages are not one snapshot, so a watch must continue from the revision of the first page.
+     *
+     * @param firstRevision revision of the first page; -1 to read that one
+     */
+    private Future<KvMessage.Reply> readPage(String prefix, String afterKey, List<KvEntry> read, long firstRevision) {
+        return call(id -> new KvMessage.Range(id, prefix, afterKey)).compose(page -> {
+            long revision = firstRevision < 0 ? page.revision() : firstRevision;
+            read.addAll(page.entries());
+            return page.more() && !page.entries().isEmpty()
+                    ? readPage(prefix, page.entries().getLast().key(), read, revision)
+                    : Future.succeededFuture(
+                            new KvMessage.Reply(page.callId(), page.status(), revision, read, page.leaseId()));
+        });
     }
 
     @Override
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvCodec.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvCodec.java
@@ -27,6 +27,10 @@
     private static final int REVOKE = 8;
     private static final int REPLY = 20;
     private static final int EVENT = 21;
+    /** Messages from before pages have one field less. */
+    private static final int RANGE_FIELDS = 4;
+
+    private static final int REPLY_FIELDS = 7;
     private static final int MAX_ENTRIES = 100_000;
 
     private KvCodec() {}
@@ -38,7 +42,11 @@
                 case KvMessage.Get g ->
                     p.packArrayHeader(3).packInt(GET).packLong(g.callId()).packString(g.key());
                 case KvMessage.Range r ->
-                    p.packArrayHeader(3).packInt(RANGE).packLong(r.callId()).packString(r.prefix());
+                    p.packArrayHeader(RANGE_FIELDS)
+                            .packInt(RANGE)
+                            .packLong(r.callId())
+                            .packString(r.prefix())
+                            .packString(r.afterKey());
                 case KvMessage.Put put -> writePut(p, put);
                 case KvMessage.Delete d ->
                     p.packArrayHeader(4)
@@ -73,11 +81,13 @@
     /** Decodes a frame body; throws {@link WireException} if it is not a valid key-value message. */
     public static KvMessage decode(byte[] body) {
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(body)) {
-            u.unpackArrayHeader();
+            int fields = u.unpackArrayHeader();
             int tag = u.unpackInt();
             return switch (tag) {
                 case GET -> new KvMessage.Get(u.unpackLong(), u.unpackString());
-                case RANGE -> new KvMessage.Range(u.unpackLong(), u.unpackString());
+                case RANGE ->
+                    new KvMessage.Range(
+                            u.unpackLong(), u.unpackString(), fields < RANGE_FIELDS ? "" : u.unpackString());
                 case PUT ->
                     new KvMessage.Put(
                             u.unpackLong(), u.unpackString(), BinaryField.read(u), u.unpackLong(), u.unpackLong());
@@ -86,7 +96,7 @@
                 case GRANT -> new KvMessage.LeaseGrant(u.unpackLong(), u.unpackLong());
                 case KEEP_ALIVE -> new KvMessage.LeaseKeepAlive(u.unpackLong(), u.unpackLong());
                 case REVOKE -> new KvMessage.LeaseRevoke(u.unpackLong(), u.unpackLong());
-                case REPLY -> readReply(u);
+                case REPLY -> readReply(u, fields);
                 case EVENT -> new KvMessage.Event(u.unpackLong(), u.unpackLong(), u.unpackBoolean(), readEntry(u));
                 default -> throw new WireException("unknown key-value message tag " + tag);
             };
@@ -102,7 +112,7 @@
     }
 
     private static void writeReply(MessageBufferPacker p, KvMessage.Reply r) throws IOException {
-        p.packArrayHeader(6)
+        p.packArrayHeader(REPLY_FIELDS)
                 .packInt(REPLY)
                 .packLong(r.callId())
                 .packInt(r.status().ordinal())
@@ -111,10 +121,10 @@
         for (KvEntry e : r.entries()) {
             writeEntry(p, e);
         }
-        p.packLong(r.leaseId());
+        p.packLong(r.leaseId()).packBoolean(r.more());
     }
 
-    private static KvMessage.Reply readReply(MessageUnpacker u) throws IOException {
+    private static KvMessage.Reply readReply(MessageUnpacker u, int fields) throws IOException {
         long callId = u.unpackLong();
         int status = u.unpackInt();
         if (status < 0 || status >= KvStatus.values().length) {
@@ -129,7 +139,9 @@
         for (int i = 0; i < n; i++) {
             entries.add(readEntry(u));
         }
-        return new KvMessage.Reply(callId, KvStatus.values()[status], revision, entries, u.unpackLong());
+        long leaseId = u.unpackLong();
+        boolean more = fields >= REPLY_FIELDS && u.unpackBoolean();
+        return new KvMessage.Reply(callId, KvStatus.values()[status], revision, entries, leaseId, more);
     }
 
     private static void writeEvent(MessageBufferPacker p, KvMessage.Event e) throws IOException {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMessage.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMessage.java
@@ -30,12 +30,13 @@
     record Get(long callId, String key) implements Call {}
 
     /**
-     * Reads every key under a prefix.
+     * Reads the keys under a prefix, as many as fit into one reply.
      *
      * @param callId id for the reply
      * @param prefix key prefix
+     * @param afterKey only keys after this one are read; empty for all
      */
-    record Range(long callId, String prefix) implements Call {}
+    record Range(long callId, String prefix, String afterKey) implements Call {}
 
     /**
      * Writes a key if its version is {@code expectedVersion} ({@link #ABSENT}, {@link #ANY} or a version).
@@ -98,14 +99,20 @@
      * @param revision the service's revision after the call
      * @param entries keys read, or the key as now stored after a put or conflict
      * @param leaseId the lease granted or renewed, or 0
+     * @param more whether there are further keys, after the last of {@code entries}
      */
-    record Reply(long callId, KvStatus status, long revision, List<KvEntry> entries, long leaseId)
+    record Reply(long callId, KvStatus status, long revision, List<KvEntry> entries, long leaseId, boolean more)
             implements KvMessage {
 
         /** Copies the list. */
         public Reply {
             entries = List.copyOf(entries);
         }
+
+        /** A reply that is whole. */
+        public Reply(long callId, KvStatus status, long revision, List<KvEntry> entries, long leaseId) {
+            this(callId, status, revision, entries, leaseId, false);
+        }
     }
 
     /**
