Updates of the store are applied, pending or rejected; fallback polls; compacted deletions

Names only: EntriesNotTaken is PendingUpdates, LateWatchReader is FallbackPoller, take, takeRange and takeChanges are applyKey, applyRange and applyChanges, and so on.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/forward/StateDump.java
@@ -58,9 +58,9 @@
         return new JsonObject()
                 .put("loaded", state.loaded())
                 .put("epoch", state.epoch())
-                .put("entriesNotTaken", state.notTaken())
-                .put("oldestNotTakenMs", state.oldestNotTakenMs())
-                .put("keysNotTaken", new JsonArray(state.keysNotTaken()));
+                .put("pendingUpdates", state.pending())
+                .put("oldestPendingMs", state.oldestPendingMs())
+                .put("pendingKeys", new JsonArray(state.pendingKeys()));
     }
 
     private static JsonObject workspaceUse(Placement placement) {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/LateWatchReader.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/FallbackPoller.java
@@ -12,12 +12,12 @@
 import org.onyxhinge.wire.Loop;
 
 /**
- * Keeps a part of a mirror confirmed while its watch is late, by reads of that part alone. Runs on the mirror's
+ * Polls a part of a mirror while its watch is late, so that the part stays confirmed. Runs on the mirror's
  * context; {@link #want} may be called from any thread.
  */
-public final class LateWatchReader {
+public final class FallbackPoller {
 
-    private static final Logger LOG = Logger.getLogger(LateWatchReader.class);
+    private static final Logger LOG = Logger.getLogger(FallbackPoller.class);
     private static final long CHECK_INTERVAL_MS = 50;
 
     private final Context context;
@@ -32,23 +32,23 @@
      *
      * @param name name for the log
      * @param read reads it, by a client of its own, so that no call of another kind delays the reads
-     * @param take takes the reply; returns whether the mirror is now as new
+     * @param apply applies the reply; returns whether the mirror is now as new
      * @param mirror how the mirror stands
      */
     public record Part(
             String name,
             Supplier<Future<KvMessage.Reply>> read,
-            Predicate<KvMessage.Reply> take,
+            Predicate<KvMessage.Reply> apply,
             Supplier<KvMirror.State> mirror) {
 
         /** One key of a mirror. */
         public static Part ofKey(KvStore kv, KvMirror mirror, String key) {
-            return new Part(key, () -> kv.get(key), reply -> mirror.take(key, reply), mirror::state);
+            return new Part(key, () -> kv.get(key), reply -> mirror.applyKey(key, reply), mirror::state);
         }
 
         /** All keys of a mirror that begin with a prefix. */
         public static Part ofRange(KvStore kv, KvMirror mirror, String prefix) {
-            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.takeRange(prefix, reply), mirror::state);
+            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.applyRange(prefix, reply), mirror::state);
         }
     }
 
@@ -58,12 +58,11 @@
         /** A read sent at {@code sentAtMs} has shown that the mirror's part is the newest; it has been reported. */
         void confirmed(long sentAtMs);
 
-        /** A read has failed, or has shown what the mirror does not go on from. */
+        /** A read has failed, or its reply could not be applied. */
         void failed();
     }
 
-    private LateWatchReader(
-            Context context, Part part, ReadSchedule schedule, LongSupplier clockMs, Listener listener) {
+    private FallbackPoller(Context context, Part part, ReadSchedule schedule, LongSupplier clockMs, Listener listener) {
         this.context = context;
         this.part = part;
         this.schedule = schedule;
@@ -73,10 +72,10 @@
     }
 
     /** Starts reading when the schedule says so; must be called on the mirror's context. */
-    public static LateWatchReader start(
+    public static FallbackPoller start(
             Vertx vertx, Part part, ReadSchedule schedule, LongSupplier clockMs, Listener listener) {
         Context context = vertx.getOrCreateContext();
-        LateWatchReader reader = new LateWatchReader(context, part, schedule, clockMs, listener);
+        FallbackPoller reader = new FallbackPoller(context, part, schedule, clockMs, listener);
         vertx.setPeriodic(CHECK_INTERVAL_MS, t -> reader.readIfDue());
         return reader;
     }
@@ -105,16 +104,14 @@
     }
 
     private void answered(KvMessage.Reply reply, long sentAtMs) {
-        boolean[] taken = {false};
-        loop.turn(() -> taken[0] = part.take().test(reply));
-        if (!taken[0]) {
-            failed(
-                    sentAtMs,
-                    "not what the mirror goes on from: " + part.mirror().get());
+        boolean[] applied = {false};
+        loop.turn(() -> applied[0] = part.apply().test(reply));
+        if (!applied[0]) {
+            failed(sentAtMs, "reply not applied, mirror: " + part.mirror().get());
             return;
         }
         LOG.infof(
-                "read apart from the watch part=%s revision=%d tookMs=%d",
+                "fallback poll part=%s revision=%d tookMs=%d",
                 part.name(), KvRevision.withinEpoch(reply.revision()), clockMs.getAsLong() - sentAtMs);
         schedule.succeeded(sentAtMs);
         loop.turn(() -> listener.confirmed(sentAtMs));
@@ -122,7 +119,7 @@
 
     private void failed(long sentAtMs, String error) {
         long nowMs = clockMs.getAsLong();
-        LOG.infof("not read apart from the watch part=%s tookMs=%d error=%s", part.name(), nowMs - sentAtMs, error);
+        LOG.infof("fallback poll failed part=%s tookMs=%d error=%s", part.name(), nowMs - sentAtMs, error);
         schedule.failed(nowMs, ThreadLocalRandom.current().nextDouble());
         loop.turn(listener::failed);
     }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -20,8 +20,9 @@
 /**
  * Keeps a listener up to date with all keys under a prefix: reads the prefix once, then watches it, and
  * reads it again if the service no longer has the history that the watch needs. During an outage no
- * change is reported. A key is never replaced by an older revision. A change that the listener fails to take is
- * reported again until it is taken, and delays no change of another key. Runs on the client's context.
+ * change is reported. A key is never replaced by an older revision. An update that the listener fails to
+ * apply is pending: it is reported again until it is applied, and delays no update of another key. Runs on
+ * the client's context.
  *
  * <p>If the service was restored from a copy, the keys' owners write again what was lost. Until they have had time to,
  * a key that is missing is not reported as deleted. A key that had been deleted is reported only once it is written
@@ -32,7 +33,7 @@
     private static final Logger LOG = Logger.getLogger(KvMirror.class);
     private static final long RETRY_MS = 200;
 
-    /** The pause between attempts that the listener fails to take is doubled this many times at most. */
+    /** The pause between attempts to apply a pending update is doubled this many times at most. */
     private static final int MAX_DOUBLINGS = 4;
 
     /** The same of the pause between reads of entries that the service does not describe readably. */
@@ -57,33 +58,33 @@
     /** Keys that were deleted, with a revision at which they were; the one deleted last comes last. */
     private final Map<String, Long> deleted = BoundedMap.dropOldest(MAX_DELETED);
 
-    private final EntriesNotTaken notTaken = new EntriesNotTaken();
+    private final PendingUpdates pending = new PendingUpdates();
     private final Promise<Long> firstLoad = Promise.promise();
     private final Loop loop;
     private long epoch;
     /** All changes up to this revision have been reported. */
     private long completeTo;
-    /** Deletions up to this revision may have been forgotten, or were never seen. */
-    private long deletionsUnknownTo;
+    /** Deletions up to this revision are not all retained. */
+    private long deletionsCompactedTo;
 
     private int failedLoads;
     private int failedRepeats;
     private boolean repeatScheduled;
     private int failedReads;
     private boolean readScheduled;
-    /** Whether the listener has failed to take the revision that was reached last. */
-    private boolean revisionNotTaken;
+    /** Whether the listener has failed to apply the revision that was reached last. */
+    private boolean revisionPending;
 
     /**
      * How a mirror stands.
      *
      * @param loaded whether all keys have been read once
      * @param epoch the epoch of the service that it follows
-     * @param notTaken number of keys whose last change the listener has failed to take
-     * @param oldestNotTakenMs for how long the oldest of these has not been taken; 0 if there is none
-     * @param keysNotTaken some of these keys
+     * @param pending number of keys whose last update is pending
+     * @param oldestPendingMs age of the oldest pending update; 0 if there is none
+     * @param pendingKeys some of these keys
      */
-    public record State(boolean loaded, long epoch, int notTaken, long oldestNotTakenMs, List<String> keysNotTaken) {
+    public record State(boolean loaded, long epoch, int pending, long oldestPendingMs, List<String> pendingKeys) {
 
         /** A mirror that has not read anything. */
         public static final State EMPTY = new State(false, 0, 0, 0, List.of());
@@ -96,7 +97,7 @@
         void put(KvEntry entry);
 
         /**
-         * Whether the value of an entry that has just been put is of use. Others are forgotten: nobody passes them on,
+         * Whether the value of an entry that has just been put is of use. Others are dropped and not relayed,
          * and another writer's may be many and large.
          */
         default boolean uses(KvEntry entry) {
@@ -110,10 +111,10 @@
         void revisionReached(long revision);
 
         /**
-         * The last change of a key could not be read, or the call that reported it has failed; what was known of the
-         * key no longer holds. The change will be reported again.
+         * The last update of a key could not be read, or the call that reported it has failed, so that the previous
+         * value is outdated. The update will be reported again.
          */
-        default void notTaken(String key) {}
+        default void updatePending(String key) {}
 
         /** The contents are read again: keys that were created and deleted since the last change are not reported. */
         default void historyLost() {}
@@ -147,30 +148,30 @@
     }
 
     /**
-     * Takes the reply to a read of one key, which may be ahead of the watch; a newer entry is reported, without its
+     * Applies the reply to a read of one key, which may be ahead of the watch; a newer entry is reported, without its
      * revision being reached.
      *
-     * @return whether the listener has taken the entry in the reply. It has not if there is none, if the service was
+     * @return whether the listener has applied the entry in the reply. It has not if there is none, if the service was
      *     restored, or if the mirror knows of a later change
      */
-    public boolean take(String key, KvMessage.Reply reply) {
+    public boolean applyKey(String key, KvMessage.Reply reply) {
         Optional<KvEntry> read =
                 reply.entries().stream().filter(e -> e.key().equals(key)).findFirst();
         return read.isPresent()
-                && isOfThisEpoch(reply.revision())
+                && isCurrentEpoch(reply.revision())
                 && put(read.get(), reply.revision())
                 && !deleted.containsKey(key)
                 && entries.get(key).modRevision() == read.get().modRevision();
     }
 
     /**
-     * Takes the reply to a read of all keys under a part of the prefix, which may be ahead of the watch; what differs
+     * Applies the reply to a read of all keys under a part of the prefix, which may be ahead of the watch; what differs
      * is reported, without its revision being reached.
      *
      * @return whether the mirror is now as new as the reply. It is not if the service was restored
      */
-    public boolean takeRange(String part, KvMessage.Reply reply) {
-        if (!isOfThisEpoch(reply.revision())) {
+    public boolean applyRange(String part, KvMessage.Reply reply) {
+        if (!isCurrentEpoch(reply.revision())) {
             return false;
         }
         Set<String> present = reply.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
@@ -189,9 +190,9 @@
         return new State(
                 firstLoad.future().isComplete(),
                 epoch,
-                notTaken.count(),
-                notTaken.oldestMs(MonotonicClock.nowMs()),
-                notTaken.someKeys());
+                pending.count(),
+                pending.oldestMs(MonotonicClock.nowMs()),
+                pending.someKeys());
     }
 
     /**
@@ -199,28 +200,28 @@
      * nothing has been read yet.
      */
     public Optional<KvChanges> changesSince(long revision) {
-        if (!isOfThisEpoch(revision)) {
+        if (!isCurrentEpoch(revision)) {
             return Optional.empty();
         }
-        boolean whole = revision < deletionsUnknownTo;
+        boolean whole = revision < deletionsCompactedTo;
         List<KvEntry> changed = entries.values().stream()
                 .filter(e -> whole || e.modRevision() > revision)
                 .filter(e -> !deleted.containsKey(e.key()) && !missing.contains(e.key()))
                 .toList();
         Map<String, Long> removed = deleted.entrySet().stream()
-                .filter(e -> e.getValue() > revision && isOfThisEpoch(e.getValue()))
+                .filter(e -> e.getValue() > revision && isCurrentEpoch(e.getValue()))
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
         return Optional.of(new KvChanges(completeTo, whole, changed, removed));
     }
 
     /**
-     * Takes what the mirror of another client holds.
+     * Applies what the mirror of another client holds.
      *
      * @return whether this mirror is now as new as the other one. It is not if one of them knows of a restore that the
      *     other does not
      */
-    public boolean takeChanges(KvChanges changes) {
-        if (!isOfThisEpoch(changes.revision())) {
+    public boolean applyChanges(KvChanges changes) {
+        if (!isCurrentEpoch(changes.revision())) {
             return false;
         }
         changes.entries().stream().filter(entry -> !entry.isKeyOnly()).forEach(entry -> put(entry, changes.revision()));
@@ -233,7 +234,7 @@
         return true;
     }
 
-    private boolean isOfThisEpoch(long revision) {
+    private boolean isCurrentEpoch(long revision) {
         return firstLoad.future().isComplete() && KvRevision.epoch(revision) == epoch;
     }
 
@@ -252,8 +253,8 @@
     }
 
     private void reportRevision(long revision) {
-        revisionNotTaken = !loop.turn(() -> listener.revisionReached(revision));
-        if (revisionNotTaken) {
+        revisionPending = !loop.turn(() -> listener.revisionReached(revision));
+        if (revisionPending) {
             repeatLater();
         }
     }
@@ -278,8 +279,8 @@
             loadLater();
         } else {
             failedLoads = 0;
-            boolean sameEpoch = isOfThisEpoch(reply.revision());
-            deletionsUnknownTo = sameEpoch ? deletionsUnknownTo : reply.revision();
+            boolean sameEpoch = isCurrentEpoch(reply.revision());
+            deletionsCompactedTo = sameEpoch ? deletionsCompactedTo : reply.revision();
             epoch = KvRevision.epoch(reply.revision());
             completeTo = reply.revision();
             kv.watch(prefix, reply.revision(), this::applyEvent, this::load);
@@ -343,11 +344,11 @@
      * Reports an entry unless a later change of its key is known; what is read ahead of the watch comes again by it.
      *
      * @param readRevision revision of the service at which it was read
-     * @return whether the listener has taken the last change of the key
+     * @return whether the listener has applied the last update of the key
      */
     private boolean put(KvEntry entry, long readRevision) {
         if (isOutdated(entry, readRevision)) {
-            return !notTaken.contains(entry.key());
+            return !pending.contains(entry.key());
         }
         entries.put(entry.key(), entry);
         missing.remove(entry.key());
@@ -382,7 +383,7 @@
     private void delete(String key, long revision) {
         boolean unreported = entries.remove(key) != null && !deleted.containsKey(key);
         if (deleted.size() == MAX_DELETED && !deleted.containsKey(key)) {
-            deletionsUnknownTo = Math.max(completeTo, revision);
+            deletionsCompactedTo = Math.max(completeTo, revision);
         }
         deleted.merge(key, revision, Math::max);
         if (unreported) {
@@ -390,7 +391,7 @@
         }
     }
 
-    /** Reports the last change of a key; returns whether the listener has taken it. */
+    /** Reports the last change of a key; returns whether the listener has applied it. */
     private boolean report(String key) {
         KvEntry entry = deleted.containsKey(key) ? null : entries.get(key);
         if (entry != null && !entry.isReadable()) {
@@ -403,7 +404,7 @@
             repeatLater();
             return false;
         }
-        notTaken.settled(key, MonotonicClock.nowMs());
+        pending.settled(key, MonotonicClock.nowMs());
         if (entry != null && !listener.uses(entry)) {
             entries.put(key, entry.withoutValue());
         }
@@ -411,8 +412,8 @@
     }
 
     private void failed(String key, long revision) {
-        notTaken.failed(key, revision, MonotonicClock.nowMs());
-        loop.turn(() -> listener.notTaken(key));
+        pending.failed(key, revision, MonotonicClock.nowMs());
+        loop.turn(() -> listener.updatePending(key));
     }
 
     private boolean isUnreadable(String key) {
@@ -430,12 +431,12 @@
     private void readAgain() {
         readScheduled = false;
         failedReads++;
-        if (notTaken.keys().noneMatch(this::isUnreadable)) {
+        if (pending.keys().noneMatch(this::isUnreadable)) {
             failedReads = 0;
             return;
         }
         loop.turn(() -> kv.range(prefix)
-                .onSuccess(reply -> takeRange("", reply))
+                .onSuccess(reply -> applyRange("", reply))
                 .onFailure(e -> LOG.debugf("kv mirror read failed prefix=%s error=%s", prefix, e.getMessage())));
         readLater();
     }
@@ -447,15 +448,15 @@
         }
     }
 
-    /** Reports again what the listener has failed to take. */
+    /** Reports the pending updates again. */
     private void repeat() {
         repeatScheduled = false;
         failedRepeats++;
         repeatable().limit(MAX_REPEATED).toList().forEach(this::report);
-        if (revisionNotTaken) {
+        if (revisionPending) {
             reportRevision(completeTo);
         }
-        if (revisionNotTaken || repeatable().findAny().isPresent()) {
+        if (revisionPending || repeatable().findAny().isPresent()) {
             repeatLater();
         } else {
             failedRepeats = 0;
@@ -463,6 +464,6 @@
     }
 
     private Stream<String> repeatable() {
-        return notTaken.keys().filter(key -> !isUnreadable(key));
+        return pending.keys().filter(key -> !isUnreadable(key));
     }
 }
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/EntriesNotTaken.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/PendingUpdates.java
@@ -8,10 +8,10 @@
 import org.jboss.logging.Logger;
 import org.onyxhinge.core.text.LogText;
 
-/** The keys whose last change the listener of a mirror has failed to take. Confined to the mirror's context. */
-final class EntriesNotTaken {
+/** The keys whose last update the listener of a mirror has failed to apply. Confined to the mirror's context. */
+final class PendingUpdates {
 
-    private static final Logger LOG = Logger.getLogger(EntriesNotTaken.class);
+    private static final Logger LOG = Logger.getLogger(PendingUpdates.class);
 
     /** Keys that are named; hundreds of entries may fail for one reason. */
     private static final int MAX_NAMED = 10;
@@ -19,7 +19,7 @@
     /** The key whose last attempt was longest ago comes first. */
     private final Map<String, Failure> byKey = new LinkedHashMap<>();
 
-    /** A change that was not taken; times in ms by the monotonic clock. */
+    /** An update that failed; times in ms by the monotonic clock. */
     private record Failure(long revision, long sinceMs, int attempts) {
 
         /** Whether the number of attempts is a power of two, so that the lines of one failure get rarer. */
@@ -37,12 +37,12 @@
         byKey.put(key, now);
         if (byKey.size() <= MAX_NAMED && now.isLogged()) {
             LOG.errorf(
-                    "kv entry not taken key=%s revision=%d attempts=%d forMs=%d notTaken=%d",
+                    "kv update pending key=%s revision=%d attempts=%d forMs=%d pending=%d",
                     LogText.of(key), revision, now.attempts(), nowMs - now.sinceMs(), byKey.size());
         }
     }
 
-    /** Records that the present contents of a key are taken, or that it is gone. */
+    /** Records that the last update of a key is applied. */
     void settled(String key, long nowMs) {
         if (byKey.isEmpty()) {
             return;
@@ -50,7 +50,7 @@
         Failure failure = byKey.remove(key);
         if (failure != null) {
             LOG.infof(
-                    "kv entry taken key=%s attempts=%d afterMs=%d notTaken=%d",
+                    "kv update applied key=%s attempts=%d afterMs=%d pending=%d",
                     LogText.of(key), failure.attempts(), nowMs - failure.sinceMs(), byKey.size());
         }
     }
--- a/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
+++ b/onyxhinge-wire/src/test/java/org/onyxhinge/wire/kv/KvMirrorTest.java
@@ -28,7 +28,7 @@
     private final FakeKvStore store = new FakeKvStore();
     private final List<String> reported = new CopyOnWriteArrayList<>();
 
-    /** Number of changes that the listener still fails to take, of those whose text starts as given. */
+    /** Number of changes that the listener still fails to apply, of those whose text starts as given. */
     private final AtomicInteger failures = new AtomicInteger();
 
     private String failing = "";
@@ -64,8 +64,8 @@
         }
 
         @Override
-        public void notTaken(String key) {
-            reported.add(key + " not taken");
+        public void updatePending(String key) {
+            reported.add(key + " pending");
         }
 
         @Override
@@ -87,7 +87,7 @@
         vertx.close();
     }
 
-    /** Guards against a watch that is behind a read of one key and takes the mirror back. */
+    /** Guards against a watch that is behind a read of one key and undoes newer updates. */
     @Nested
     class ReadAheadOfTheWatch {
 
@@ -123,8 +123,8 @@
         @Test
         void reportsANewEntryOnce() {
             store.write("kept", "2");
-            assertThat(mirror.take("kept", reply("kept")), is(true));
-            assertThat(mirror.take("kept", reply("kept")), is(true));
+            assertThat(mirror.applyKey("kept", reply("kept")), is(true));
+            assertThat(mirror.applyKey("kept", reply("kept")), is(true));
             store.deliver();
             assertThat(ahead, contains("kept=2"));
         }
@@ -134,29 +134,30 @@
             store.write("kept", "2");
             store.remove("kept");
             store.write("kept", "3");
-            assertThat(mirror.take("kept", reply("kept")), is(true));
+            assertThat(mirror.applyKey("kept", reply("kept")), is(true));
             store.deliver();
             assertThat(ahead, contains("kept=3"));
         }
 
         @Test
-        void isNotTakenIfTheMirrorIsNewer() {
+        void isNotAppliedIfTheMirrorIsNewer() {
             KvMessage.Reply before = reply("kept");
             store.write("kept", "2");
             store.deliver();
-            assertThat(mirror.take("kept", before), is(false));
+            assertThat(mirror.applyKey("kept", before), is(false));
         }
 
         @Test
-        void isNotTakenForAMissingKey() {
-            assertThat(mirror.take("none", reply("none")), is(false));
+        void isNotAppliedForAMissingKey() {
+            assertThat(mirror.applyKey("none", reply("none")), is(false));
         }
 
         @Test
-        void isNotTakenAfterARestore() {
+        void isNotAppliedAfterARestore() {
             KvMessage.Reply r = reply("kept");
             long restored = KvRevision.of(KvRevision.epoch(r.revision()) + 1, 9);
-            assertThat(mirror.take("kept", new KvMessage.Reply(0, KvStatus.OK, restored, r.entries(), 0)), is(false));
+            assertThat(
+                    mirror.applyKey("kept", new KvMessage.Reply(0, KvStatus.OK, restored, r.entries(), 0)), is(false));
         }
     }
 
@@ -174,7 +175,7 @@
                 containsInAnyOrder("unused=", "kept=1", "gone=1"));
     }
 
-    /** Guards against what is read ahead of the watch, or by another mirror, and taken back by older news. */
+    /** Guards against what is read ahead of the watch, or by another mirror, and undone by older news. */
     @Nested
     class OtherWays {
 
@@ -213,7 +214,7 @@
         void aRangeTellsWhatIsNewAndWhatIsGone() {
             store.write("kept", "2");
             store.remove("gone");
-            assertThat(mirror.takeRange("", store.range("").result()), is(true));
+            assertThat(mirror.applyRange("", store.range("").result()), is(true));
             store.deliver();
             assertThat(ahead, contains("kept=2", "gone deleted"));
         }
@@ -222,7 +223,7 @@
         void aRangeSaysNothingAboutOtherKeys() {
             store.write("kept", "2");
             store.remove("gone");
-            assertThat(mirror.takeRange("k", store.range("k").result()), is(true));
+            assertThat(mirror.applyRange("k", store.range("k").result()), is(true));
             assertThat(ahead, contains("kept=2"));
         }
 
@@ -234,7 +235,7 @@
             store.remove("gone");
             store.deliver();
             ahead.clear();
-            assertThat(mirror.takeRange("", before), is(true));
+            assertThat(mirror.applyRange("", before), is(true));
             assertThat(ahead, is(empty()));
         }
 
@@ -242,19 +243,19 @@
         void aDeletedKeyIsNotBroughtBackByTheWatch() {
             store.write("gone", "2");
             store.remove("gone");
-            assertThat(mirror.takeRange("", store.range("").result()), is(true));
+            assertThat(mirror.applyRange("", store.range("").result()), is(true));
             store.deliver();
             assertThat(ahead, contains("gone deleted"));
         }
 
         @Test
-        void changesOfAnotherMirrorAreTaken() {
+        void changesOfAnotherMirrorAreApplied() {
             store.write("kept", "2");
             store.remove("gone");
             store.write("new", "1");
             KvChanges changes = otherMirror().changesSince(mirror.completeTo()).orElseThrow();
             assertThat("it does not know all deletions since", changes.whole(), is(true));
-            assertThat(mirror.takeChanges(changes), is(true));
+            assertThat(mirror.applyChanges(changes), is(true));
             store.deliver();
             assertThat(List.copyOf(ahead).stream().sorted().toList(), contains("gone deleted", "kept=2", "new=1"));
         }
@@ -266,7 +267,7 @@
             store.write("new", "1");
             store.remove("new");
             long since = mirror.completeTo();
-            mirror.takeRange("k", store.range("k").result());
+            mirror.applyRange("k", store.range("k").result());
             store.deliver();
             KvChanges changes = other.changesSince(since).orElseThrow();
             assertThat(changes.whole(), is(false));
@@ -281,7 +282,7 @@
             store.write("new", "1");
             KvChanges changes = otherMirror().changesSince(mirror.completeTo()).orElseThrow();
             assertThat("it does not know all deletions since", changes.whole(), is(true));
-            assertThat(mirror.takeChanges(changes.withKeysOnly(e -> !e.key().equals("new"))), is(true));
+            assertThat(mirror.applyChanges(changes.withKeysOnly(e -> !e.key().equals("new"))), is(true));
             assertThat(ahead, contains("new=1"));
             store.write("kept", "2");
             store.deliver();
@@ -296,7 +297,7 @@
             KvChanges before = behind.changesSince(mirror.completeTo()).orElseThrow();
             store.restore();
             store.deliver();
-            assertThat(mirror.takeChanges(before), is(false));
+            assertThat(mirror.applyChanges(before), is(false));
             assertThat(mirror.changesSince(before.revision()).isPresent(), is(false));
         }
     }
@@ -343,7 +344,7 @@
 
         @ParameterizedTest
         @ValueSource(strings = {"kept=2", "gone deleted", "reached"})
-        void changesAreReportedOnceItTakesThem(String change) {
+        void updatesAreReportedUntilItAppliesThem(String change) {
             fail(change, 1);
             store.write("kept", "2");
             store.remove("gone");
@@ -398,13 +399,16 @@
             fail("kept=", Integer.MAX_VALUE);
             store.write("kept", "2");
             store.write("other", "1");
-            assertThat("key", behind.take("other", store.range("other").result()), is(true));
-            assertThat("range", behind.takeRange("", store.range("").result()), is(true));
-            assertThat("key that fails", behind.take("kept", store.range("kept").result()), is(false));
-            assertThat(behind.state().keysNotTaken(), contains("kept"));
+            assertThat("key", behind.applyKey("other", store.range("other").result()), is(true));
+            assertThat("range", behind.applyRange("", store.range("").result()), is(true));
+            assertThat(
+                    "key that fails",
+                    behind.applyKey("kept", store.range("kept").result()),
+                    is(false));
+            assertThat(behind.state().pendingKeys(), contains("kept"));
             assertThat(
                     "changes",
-                    behind.takeChanges(behind.changesSince(behind.completeTo()).orElseThrow()),
+                    behind.applyChanges(behind.changesSince(behind.completeTo()).orElseThrow()),
                     is(true));
         }
 
@@ -416,14 +420,14 @@
             fail("kept=2", 4);
             store.write("kept", "2");
             store.deliver();
-            assertThat(mirror.state().notTaken(), is(1));
-            assertThat(reported, hasItem("kept not taken"));
+            assertThat(mirror.state().pending(), is(1));
+            assertThat(reported, hasItem("kept pending"));
             awaitReported("kept=2", RECOVERY_MS);
             long untilMs = System.currentTimeMillis() + RECOVERY_MS;
-            while (mirror.state().notTaken() > 0 && System.currentTimeMillis() < untilMs) {
+            while (mirror.state().pending() > 0 && System.currentTimeMillis() < untilMs) {
                 sleep(20);
             }
-            assertThat(mirror.state().notTaken(), is(0));
+            assertThat(mirror.state().pending(), is(0));
         }
 
         @Test
@@ -456,7 +460,7 @@
             store.describeUnreadably("kept", true);
             store.write("kept", "2");
             store.deliver();
-            assertThat(reported, contains("kept not taken"));
+            assertThat(reported, contains("kept pending"));
             store.describeUnreadably("kept", false);
             awaitReported("kept=2");
         }
@@ -467,29 +471,29 @@
             mirror.start();
             store.write("other", "1");
             store.describeUnreadably("kept", true);
-            assertThat(mirror.take("kept", store.range("kept").result()), is(false));
+            assertThat(mirror.applyKey("kept", store.range("kept").result()), is(false));
             store.describeUnreadably("kept", false);
             reported.clear();
-            assertThat(mirror.take("kept", store.range("kept").result()), is(true));
+            assertThat(mirror.applyKey("kept", store.range("kept").result()), is(true));
             assertThat(reported, contains("kept=1"));
-            assertThat(mirror.state().notTaken(), is(0));
+            assertThat(mirror.state().pending(), is(0));
         }
 
         /** Guards against a mirror that loses what it knows to one for which the entry could not be read. */
         @Test
-        void itIsNotTakenFromAnotherMirrorThatKnowsLess() {
+        void itIsNotAppliedFromAnotherMirrorThatKnowsLess() {
             KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
             mirror.start();
             store.describeUnreadably("kept", true);
             KvMirror other = KvMirror.create(vertx, store, "", new Recorder());
             other.start();
             reported.clear();
-            assertThat(mirror.takeChanges(other.changesSince(0).orElseThrow()), is(true));
-            assertThat(mirror.state().notTaken(), is(0));
+            assertThat(mirror.applyChanges(other.changesSince(0).orElseThrow()), is(true));
+            assertThat(mirror.state().pending(), is(0));
             assertThat(reported, is(empty()));
         }
 
-        /** Guards against an older reply that is taken because the newer one could not be read. */
+        /** Guards against an older reply that is applied because the newer one could not be read. */
         @Test
         void anOlderReplyDoesNotReplaceIt() {
             KvMirror mirror = KvMirror.create(vertx, store, "", new Recorder());
@@ -497,9 +501,9 @@
             KvMessage.Reply before = store.range("kept").result();
             store.write("kept", "2");
             store.describeUnreadably("kept", true);
-            mirror.take("kept", store.range("kept").result());
+            mirror.applyKey("kept", store.range("kept").result());
             reported.clear();
-            assertThat(mirror.take("kept", before), is(false));
+            assertThat(mirror.applyKey("kept", before), is(false));
             assertThat(reported, is(empty()));
         }
     }
@@ -528,12 +532,12 @@
 
         /** Guards against a restore that is not seen because of one entry. */
         @Test
-        void isReportedAlthoughTheListenerFailsToTakeAnEntry() {
+        void isReportedAlthoughTheListenerFailsToApplyAnEntry() {
             restoreOlderCopy();
             failing = "kept=";
             failures.set(Integer.MAX_VALUE);
             store.deliver();
-            assertThat(reported, contains("restored", "kept not taken"));
+            assertThat(reported, contains("restored", "kept pending"));
             store.write("other", "1");
             store.deliver();
             assertThat(reported.getLast(), is("other=1"));
