A fallback poll whose pages arrive is not repeated

A poll that is not answered within 250 ms is followed by another one on another connection, up to six at a time, in case the first one is lost. One of many pages takes longer than that in any case: in a trial with 120 entries of 1,000,000 bytes a router read the same pages four times at once, and was too busy to answer calls.

Change: no poll is sent while the pages of another one arrive, each within the same 250 ms of the one before.

--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/FallbackPoller.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/FallbackPoller.java
@@ -1,6 +1,7 @@
 package org.onyxhinge.wire.kv;
 
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -34,21 +35,28 @@
      * @param read reads it, by a client of its own, so that no call of another kind delays the reads
      * @param apply applies the reply; returns whether the mirror is now as new
      * @param mirror how the mirror stands
+     * @param advancing whether a poll that takes long has got a part of its reply within the last ms
      */
     public record Part(
             String name,
             Supplier<Future<KvMessage.Reply>> read,
             Predicate<KvMessage.Reply> apply,
-            Supplier<KvMirror.State> mirror) {
+            Supplier<KvMirror.State> mirror,
+            LongPredicate advancing) {
 
         /** One key of a mirror. */
         public static Part ofKey(KvStore kv, KvMirror mirror, String key) {
-            return new Part(key, () -> kv.get(key), reply -> mirror.applyKey(key, reply), mirror::state);
+            return new Part(key, () -> kv.get(key), reply -> mirror.applyKey(key, reply), mirror::state, ms -> false);
         }
 
         /** All keys of a mirror that begin with a prefix. */
         public static Part ofRange(KvStore kv, KvMirror mirror, String prefix) {
-            return new Part(prefix, () -> kv.range(prefix), reply -> mirror.applyRange(prefix, reply), mirror::state);
+            return new Part(
+                    prefix,
+                    () -> kv.range(prefix),
+                    reply -> mirror.applyRange(prefix, reply),
+                    mirror::state,
+                    kv::isReadingPages);
         }
     }
 
@@ -90,7 +98,8 @@
 
     private void readIfDue() {
         long sentAtMs = clockMs.getAsLong();
-        if (!schedule.isDue(sentAtMs)) {
+        // Another poll would take as long, and delay the one before.
+        if (!schedule.isDue(sentAtMs) || part.advancing().test(ReadSchedule.UNANSWERED_MS)) {
             return;
         }
         schedule.sent(sentAtMs);
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
@@ -18,6 +18,11 @@
     /** Reads every key under a prefix. */
     Future<KvMessage.Reply> range(String prefix);
 
+    /** Whether a read of many keys, which takes several replies, has got one within the last {@code ms}. */
+    default boolean isReadingPages(long ms) {
+        return false;
+    }
+
     /** Compare-and-swap write; fails with {@link KvStatus#CONFLICT} if the version differs. */
     Future<KvMessage.Reply> put(String key, byte[] value, long expectedVersion, long leaseId);
 
