Key-value service: values of agents that are no address are dropped page by page

KvClient gathered the values of all pages before the mirror that asked for them saw one. A mirror's listener now says beforehand which values it may use; agents' addresses have 512 bytes at most.

LargeKvEntriesTest#valuesOfNoUseAreDroppedPageByPage needs the new method, so that it was not run on the code before; LargeKvEntriesTest, KvMirrorTest, KvClientTest and AgentConnectionsTest are green.

--- a/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
+++ b/onyxhinge-router/src/main/java/org/onyxhinge/router/peer/AgentConnections.java
@@ -36,6 +36,9 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final long RESELECT_INTERVAL_MS = 1_000;
 
+    /** HOST:PORT; a host name has 253 characters at most. */
+    private static final int MAX_ADDRESS_BYTES = 512;
+
     private final Vertx vertx;
     private final NetClient net;
     private final AgentMessageListener listener;
@@ -106,6 +109,11 @@
         }
     }
 
+    @Override
+    public boolean mayUse(KvEntry entry) {
+        return entry.value().length <= MAX_ADDRESS_BYTES;
+    }
+
     /** The addresses are kept here; other writers' values may be many and large. */
     @Override
     public boolean uses(KvEntry entry) {
--- a/onyxhinge-tools/src/test/java/org/onyxhinge/tools/LargeKvEntriesTest.java
+++ b/onyxhinge-tools/src/test/java/org/onyxhinge/tools/LargeKvEntriesTest.java
@@ -63,6 +63,15 @@
         assertThat(reply.more(), is(false));
     }
 
+    /** Guards against memory that the values of all pages take before the first one is looked at. */
+    @Test
+    void valuesOfNoUseAreDroppedPageByPage() throws InterruptedException {
+        List<String> keys = write();
+        KvMessage.Reply reply = Launch.await(reader.range(PREFIX, e -> e.value().length == 1), TIMEOUT_MS);
+        assertThat(reply.entries().stream().map(KvEntry::key).toList(), containsInAnyOrder(keys.toArray()));
+        assertThat(reply.entries().stream().mapToInt(e -> e.value().length).sum(), is(ENTRIES));
+    }
+
     /** Guards against a change that is lost because it was made while the pages before it were being read. */
     @Test
     void changesBetweenTwoPagesAreFollowed() throws InterruptedException {
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongFunction;
+import java.util.function.Predicate;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -75,7 +76,12 @@
 
     @Override
     public Future<KvMessage.Reply> range(String prefix) {
-        return readPage(prefix, "", new ArrayList<>(), -1);
+        return range(prefix, entry -> true);
+    }
+
+    @Override
+    public Future<KvMessage.Reply> range(String prefix, Predicate<KvEntry> mayBeOfUse) {
+        return readPage(prefix, "", mayBeOfUse, new ArrayList<>(), -1);
     }
 
     /**
@@ -83,12 +89,13 @@
      *
      * @param firstRevision revision of the first page; -1 to read that one
      */
-    private Future<KvMessage.Reply> readPage(String prefix, String afterKey, List<KvEntry> read, long firstRevision) {
+    private Future<KvMessage.Reply> readPage(
+            String prefix, String afterKey, Predicate<KvEntry> mayBeOfUse, List<KvEntry> read, long firstRevision) {
         return call(id -> new KvMessage.Range(id, prefix, afterKey)).compose(page -> {
             long revision = firstRevision < 0 ? page.revision() : firstRevision;
-            read.addAll(page.entries());
+            page.entries().forEach(e -> read.add(mayBeOfUse.test(e) ? e : e.withoutValue()));
             return page.more() && !page.entries().isEmpty()
-                    ? readPage(prefix, page.entries().getLast().key(), read, revision)
+                    ? readPage(prefix, page.entries().getLast().key(), mayBeOfUse, read, revision)
                     : Future.succeededFuture(
                             new KvMessage.Reply(page.callId(), page.status(), revision, read, page.leaseId()));
         });
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvMirror.java
@@ -104,6 +104,11 @@
             return true;
         }
 
+        /** Whether the value of an entry may be of use, before it is put. */
+        default boolean mayUse(KvEntry entry) {
+            return true;
+        }
+
         /** A key was deleted. */
         void deleted(String key);
 
@@ -260,10 +265,12 @@
     }
 
     private void load() {
-        boolean sent = loop.turn(() -> kv.range(prefix).onSuccess(this::loaded).onFailure(e -> {
-            LOG.debugf("kv mirror load failed prefix=%s error=%s", prefix, e.getMessage());
-            loadLater();
-        }));
+        boolean sent = loop.turn(() -> kv.range(prefix, listener::mayUse)
+                .onSuccess(this::loaded)
+                .onFailure(e -> {
+                    LOG.debugf("kv mirror load failed prefix=%s error=%s", prefix, e.getMessage());
+                    loadLater();
+                }));
         if (!sent) {
             loadLater();
         }
@@ -435,7 +442,7 @@
             failedReads = 0;
             return;
         }
-        loop.turn(() -> kv.range(prefix)
+        loop.turn(() -> kv.range(prefix, listener::mayUse)
                 .onSuccess(reply -> applyRange("", reply))
                 .onFailure(e -> LOG.debugf("kv mirror read failed prefix=%s error=%s", prefix, e.getMessage())));
         readLater();
--- a/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
+++ b/onyxhinge-wire/src/main/java/org/onyxhinge/wire/kv/KvStore.java
@@ -1,5 +1,7 @@
 package org.onyxhinge.wire.kv;
 
+import java.util.function.Predicate;
+
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 
@@ -18,6 +20,14 @@
     /** Reads every key under a prefix. */
     Future<KvMessage.Reply> range(String prefix);
 
+    /**
+     * Reads every key under a prefix, with the values that may be of use; the others may be left out, so that they take
+     * no memory until the last reply has come.
+     */
+    default Future<KvMessage.Reply> range(String prefix, Predicate<KvEntry> mayBeOfUse) {
+        return range(prefix);
+    }
+
     /** Whether a read of many keys, which takes several replies, has got one within the last {@code ms}. */
     default boolean isReadingPages(long ms) {
         return false;
